LibHttp: Add server and client sessions on Beast

Cause: callers, upstreams and other VMs are met over HTTP/1.1. Conclusion: a cut answer is always reported as an error.

--- /dev/null
+++ b/Libraries/LibHttp/connection_pool.cpp
@@ -0,0 +1,125 @@
+// Connects to upstreams and keeps idle connections.
+
+#include <LibHttp/connection_pool.hpp>
+
+#include <LibCore/text.hpp>
+
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <sys/socket.h>
+
+#include <algorithm>
+#include <charconv>
+
+namespace hyssoploft::http {
+
+namespace {
+
+// A peer that closed the connection, or sent bytes that nobody asked for,
+// makes an idle socket readable.
+bool is_quiet(beast::tcp_stream& stream)
+{
+    char c = 0;
+    const auto n =
+        ::recv(stream.socket().native_handle(), &c, 1, MSG_PEEK | MSG_DONTWAIT);
+    return n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
+} // namespace
+
+absl::StatusOr<tcp::endpoint> parse_endpoint(const std::string& address)
+{
+    const auto error = absl::InvalidArgumentError(core::concat(
+        "\"", address, "\" is not an address of the form IP:port"));
+    const auto colon = address.rfind(':');
+    if (colon == std::string::npos)
+    {
+        return error;
+    }
+    std::string host = address.substr(0, colon);
+    if (host.size() > 2 && host.front() == '[' && host.back() == ']')
+    {
+        host = host.substr(1, host.size() - 2);
+    }
+    error_code ec;
+    const auto ip = asio::ip::make_address(host, ec);
+    std::uint16_t port = 0;
+    const char* end = address.data() + address.size();
+    const auto parsed =
+        std::from_chars(address.data() + colon + 1, end, port, 10);
+    if (ec || parsed.ec != std::errc() || parsed.ptr != end || port == 0)
+    {
+        return error;
+    }
+    return tcp::endpoint(ip, port);
+}
+
+std::unique_ptr<connection>
+connection_pool::take_idle(const std::string& address)
+{
+    const auto found = idle_.find(address);
+    if (found == idle_.end())
+    {
+        return nullptr;
+    }
+    auto& list = found->second;
+    const auto now = std::chrono::steady_clock::now();
+    while (!list.empty())
+    {
+        auto it = std::move(list.back());
+        list.pop_back();
+        if (now - it->idle_since < max_idle && is_quiet(it->stream))
+        {
+            it->reused = true;
+            return it;
+        }
+    }
+    idle_.erase(found);
+    return nullptr;
+}
+
+asio::awaitable<absl::StatusOr<std::unique_ptr<connection>>>
+connection_pool::acquire(
+    std::string address, bool fresh, std::chrono::nanoseconds timeout)
+{
+    if (!fresh)
+    {
+        auto it = take_idle(address);
+        if (it)
+        {
+            co_return it;
+        }
+    }
+    const auto endpoint = parse_endpoint(address);
+    if (!endpoint.ok())
+    {
+        co_return endpoint.status();
+    }
+    auto it = std::make_unique<connection>(context_);
+    it->address = address;
+    it->stream.expires_after(timeout);
+    error_code ec;
+    co_await it->stream.async_connect(
+        *endpoint, asio::redirect_error(asio::use_awaitable, ec));
+    if (ec)
+    {
+        co_return absl::UnavailableError(
+            core::concat("connect to ", address, ": ", ec.message()));
+    }
+    it->stream.socket().set_option(tcp::no_delay(true), ec);
+    co_return it;
+}
+
+void connection_pool::release(std::unique_ptr<connection> it)
+{
+    auto& list = idle_[it->address];
+    if (list.size() >= max_idle_per_address || it->buffer.size() > 0)
+    {
+        return;
+    }
+    it->stream.expires_never();
+    it->idle_since = std::chrono::steady_clock::now();
+    list.push_back(std::move(it));
+}
+
+} // namespace hyssoploft::http
--- /dev/null
+++ b/Libraries/LibHttp/connection_pool.hpp
@@ -0,0 +1,62 @@
+#ifndef HYSSOPLOFT_LIBHTTP_CONNECTION_POOL_HPP
+#define HYSSOPLOFT_LIBHTTP_CONNECTION_POOL_HPP
+
+// Idle keep-alive connections of one traffic thread. Not thread safe: it
+// belongs to the thread that runs its io_context.
+
+#include <LibHttp/types.hpp>
+
+#include <absl/status/statusor.h>
+
+#include <chrono>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace hyssoploft::http {
+
+/// One connection to an upstream or to another VM.
+struct connection
+{
+    explicit connection(asio::io_context& context) : stream(context) {}
+
+    beast::tcp_stream stream;
+    beast::flat_buffer buffer;
+    std::string address;
+    bool reused = false; ///< It has carried a call before.
+    std::chrono::steady_clock::time_point idle_since{};
+};
+
+class connection_pool
+{
+public:
+    explicit connection_pool(asio::io_context& context) : context_(context) {}
+
+    /// An idle connection to "IP:port", or a new one. `fresh` asks for a new
+    /// one: a reused connection may be closed by its peer while a request is
+    /// on its way, and it is then unknown whether the request ran.
+    /// UNAVAILABLE when connecting fails, INVALID_ARGUMENT for a bad address.
+    asio::awaitable<absl::StatusOr<std::unique_ptr<connection>>>
+    acquire(std::string address, bool fresh, std::chrono::nanoseconds timeout);
+
+    /// Keeps a connection whose last answer was read completely.
+    void release(std::unique_ptr<connection> it);
+
+private:
+    std::unique_ptr<connection> take_idle(const std::string& address);
+
+    static constexpr std::size_t max_idle_per_address = 64;
+    /// Shorter than the keep-alive time of the servers that it talks to.
+    static constexpr std::chrono::seconds max_idle{20};
+
+    asio::io_context& context_;
+    std::map<std::string, std::vector<std::unique_ptr<connection>>> idle_;
+};
+
+/// Parses "IP:port" ("[IPv6]:port"). INVALID_ARGUMENT for anything else.
+absl::StatusOr<tcp::endpoint> parse_endpoint(const std::string& address);
+
+} // namespace hyssoploft::http
+
+#endif
--- /dev/null
+++ b/Libraries/LibHttp/exchange.cpp
@@ -0,0 +1,105 @@
+// Writes answers to callers.
+
+#include <LibHttp/exchange.hpp>
+
+#include <LibCore/text.hpp>
+
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/http/chunk_encode.hpp>
+#include <boost/beast/http/serializer.hpp>
+#include <boost/beast/http/write.hpp>
+
+#include <utility>
+
+namespace hyssoploft::http {
+
+namespace {
+
+absl::Status to_status(const error_code& ec)
+{
+    if (!ec)
+    {
+        return absl::OkStatus();
+    }
+    return absl::UnavailableError(
+        core::concat("write to caller: ", ec.message()));
+}
+
+} // namespace
+
+exchange::exchange(
+    beast::tcp_stream& stream, connection_pool& pool, request message,
+    asio::ip::address remote)
+    : stream_(stream), pool_(pool), message_(std::move(message)),
+      remote_(std::move(remote)), keep_alive_(message_.keep_alive())
+{}
+
+asio::awaitable<absl::Status> exchange::respond(response answer)
+{
+    started_ = true;
+    answer.version(message_.version());
+    answer.keep_alive(keep_alive_);
+    answer.prepare_payload();
+    stream_.expires_after(write_timeout);
+    error_code ec;
+    co_await bhttp::async_write(
+        stream_, answer, asio::redirect_error(asio::use_awaitable, ec));
+    co_return to_status(ec);
+}
+
+asio::awaitable<absl::Status>
+exchange::begin_stream(bhttp::response<bhttp::empty_body> head)
+{
+    started_ = true;
+    head.version(message_.version());
+    head.keep_alive(keep_alive_);
+    head.chunked(true);
+    stream_.expires_after(write_timeout);
+    bhttp::response_serializer<bhttp::empty_body> serializer(head);
+    error_code ec;
+    co_await bhttp::async_write_header(
+        stream_, serializer, asio::redirect_error(asio::use_awaitable, ec));
+    co_return to_status(ec);
+}
+
+asio::awaitable<absl::Status> exchange::write(std::string_view bytes)
+{
+    stream_.expires_after(write_timeout);
+    error_code ec;
+    co_await asio::async_write(
+        stream_, bhttp::make_chunk(asio::buffer(bytes.data(), bytes.size())),
+        asio::redirect_error(asio::use_awaitable, ec));
+    co_return to_status(ec);
+}
+
+asio::awaitable<absl::Status> exchange::end_stream()
+{
+    stream_.expires_after(write_timeout);
+    error_code ec;
+    co_await asio::async_write(
+        stream_, bhttp::make_chunk_last(),
+        asio::redirect_error(asio::use_awaitable, ec));
+    co_return to_status(ec);
+}
+
+void exchange::on_caller_gone(std::function<void()> handler)
+{
+    gone_handler_ = std::move(handler);
+    if (gone_ && gone_handler_)
+    {
+        std::exchange(gone_handler_, nullptr)();
+    }
+}
+
+void exchange::set_caller_gone()
+{
+    gone_ = true;
+    if (gone_handler_)
+    {
+        std::exchange(gone_handler_, nullptr)();
+    }
+}
+
+} // namespace hyssoploft::http
--- /dev/null
+++ b/Libraries/LibHttp/exchange.hpp
@@ -0,0 +1,107 @@
+#ifndef HYSSOPLOFT_LIBHTTP_EXCHANGE_HPP
+#define HYSSOPLOFT_LIBHTTP_EXCHANGE_HPP
+
+// One request of a caller and the means to answer it, whole or as a stream.
+
+#include <LibHttp/connection_pool.hpp>
+#include <LibHttp/types.hpp>
+
+#include <absl/status/status.h>
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+
+namespace hyssoploft::http {
+
+class exchange
+{
+public:
+    exchange(
+        beast::tcp_stream& stream, connection_pool& pool, request message,
+        asio::ip::address remote);
+
+    const request& message() const
+    {
+        return message_;
+    }
+
+    request& message()
+    {
+        return message_;
+    }
+
+    /// Connections of the thread that runs this exchange.
+    connection_pool& pool()
+    {
+        return pool_;
+    }
+
+    const asio::ip::address& remote() const
+    {
+        return remote_;
+    }
+
+    asio::any_io_executor executor()
+    {
+        return stream_.get_executor();
+    }
+
+    /// Sends a whole answer. UNAVAILABLE when the caller went away.
+    asio::awaitable<absl::Status> respond(response answer);
+
+    /// Sends the head of a streamed answer (chunked).
+    asio::awaitable<absl::Status>
+    begin_stream(bhttp::response<bhttp::empty_body> head);
+
+    /// Sends one chunk. It returns when the bytes are with the system, so
+    /// that a slow reader slows only its own stream.
+    asio::awaitable<absl::Status> write(std::string_view bytes);
+
+    /// Sends the end of a streamed answer.
+    asio::awaitable<absl::Status> end_stream();
+
+    /// The connection is closed after this answer. A stream that was begun
+    /// and not ended is then seen as cut by every HTTP client.
+    void close_after()
+    {
+        keep_alive_ = false;
+    }
+
+    bool keep_alive() const
+    {
+        return keep_alive_;
+    }
+
+    bool answer_started() const
+    {
+        return started_;
+    }
+
+    /// Called once, at once if the caller is gone already. An empty handler
+    /// removes the last one.
+    void on_caller_gone(std::function<void()> handler);
+
+    /// Called by the session when the connection was closed by the caller.
+    void set_caller_gone();
+
+    bool caller_gone() const
+    {
+        return gone_;
+    }
+
+private:
+    beast::tcp_stream& stream_;
+    connection_pool& pool_;
+    request message_;
+    asio::ip::address remote_;
+    std::function<void()> gone_handler_;
+    bool keep_alive_;
+    bool started_ = false; // Bytes of an answer were sent.
+    bool gone_ = false;
+};
+
+} // namespace hyssoploft::http
+
+#endif
--- /dev/null
+++ b/Libraries/LibHttp/http_client.cpp
@@ -0,0 +1,174 @@
+// Client side of HTTP/1.1 calls.
+
+#include <LibHttp/http_client.hpp>
+
+#include <LibCore/text.hpp>
+
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/serializer.hpp>
+#include <boost/beast/http/write.hpp>
+
+#include <array>
+#include <utility>
+
+namespace hyssoploft::http {
+
+namespace {
+
+constexpr std::size_t read_piece_bytes = 16 * 1024;
+
+} // namespace
+
+asio::awaitable<absl::Status> http_call::start(
+    std::string address, request message, bool fresh_connection,
+    std::chrono::nanoseconds timeout)
+{
+    const auto began = std::chrono::steady_clock::now();
+    message.version(11);
+    message.set(bhttp::field::host, address);
+    message.keep_alive(true);
+    message.prepare_payload();
+    auto acquired =
+        co_await pool_.acquire(std::move(address), fresh_connection, timeout);
+    if (cancelled_)
+    {
+        co_return absl::CancelledError("call cancelled");
+    }
+    if (!acquired.ok())
+    {
+        co_return acquired.status();
+    }
+    connection_ = *std::move(acquired);
+    stage_ = call_stage::sending;
+    auto& stream = connection_->stream;
+    stream.expires_after(timeout - (std::chrono::steady_clock::now() - began));
+    bytes_ += message.body().size();
+    error_code ec;
+    co_await bhttp::async_write(
+        stream, message, asio::redirect_error(asio::use_awaitable, ec));
+    if (ec)
+    {
+        co_return to_status(ec);
+    }
+    stage_ = call_stage::waiting;
+    parser_.emplace();
+    parser_->header_limit(max_header_bytes);
+    parser_->body_limit(boost::none);
+    co_await bhttp::async_read_header(
+        stream, connection_->buffer, *parser_,
+        asio::redirect_error(asio::use_awaitable, ec));
+    if (ec)
+    {
+        co_return to_status(ec);
+    }
+    stage_ = call_stage::reading_answer;
+    co_return absl::OkStatus();
+}
+
+asio::awaitable<absl::StatusOr<std::string>>
+http_call::read_some(std::chrono::nanoseconds timeout)
+{
+    if (cancelled_)
+    {
+        co_return absl::CancelledError("call cancelled");
+    }
+    std::string piece;
+    while (piece.empty() && !parser_->is_done())
+    {
+        std::array<char, read_piece_bytes> buf;
+        auto& body = parser_->get().body();
+        body.data = buf.data();
+        body.size = buf.size();
+        body.more = true;
+        connection_->stream.expires_after(timeout);
+        error_code ec;
+        co_await bhttp::async_read_some(
+            connection_->stream, connection_->buffer, *parser_,
+            asio::redirect_error(asio::use_awaitable, ec));
+        if (ec && ec != bhttp::error::need_buffer)
+        {
+            co_return to_status(ec);
+        }
+        piece.append(buf.data(), buf.size() - body.size);
+    }
+    bytes_ += piece.size();
+    if (piece.empty())
+    {
+        finish();
+    }
+    co_return piece;
+}
+
+asio::awaitable<absl::StatusOr<std::string>>
+http_call::read_all(std::size_t limit, std::chrono::nanoseconds timeout)
+{
+    std::string all;
+    for (;;)
+    {
+        auto piece = co_await read_some(timeout);
+        if (!piece.ok())
+        {
+            co_return piece.status();
+        }
+        if (piece->empty())
+        {
+            co_return all;
+        }
+        if (all.size() + piece->size() > limit)
+        {
+            cancel();
+            co_return absl::ResourceExhaustedError(
+                core::concat("answer of more than ", limit, " bytes"));
+        }
+        all += *piece;
+    }
+}
+
+void http_call::cancel()
+{
+    cancelled_ = true;
+    if (connection_)
+    {
+        connection_->stream.close();
+    }
+}
+
+absl::Status http_call::to_status(const error_code& ec) const
+{
+    if (cancelled_)
+    {
+        return absl::CancelledError("call cancelled");
+    }
+    const auto text = core::concat(
+        core::name_of(call_stage_names, stage_), ": ", ec.message());
+    if (ec == beast::error::timeout)
+    {
+        return absl::DeadlineExceededError(text);
+    }
+    // NOTE: partial_message is a body that ended early, end_of_stream a
+    // connection that was closed before any byte of an answer.
+    const bool malformed =
+        ec.category() ==
+            make_error_code(bhttp::error::bad_version).category() &&
+        ec != bhttp::error::end_of_stream &&
+        ec != bhttp::error::partial_message;
+    if (malformed || stage_ == call_stage::reading_answer)
+    {
+        return absl::DataLossError(text);
+    }
+    return absl::UnavailableError(text);
+}
+
+void http_call::finish()
+{
+    stage_ = call_stage::complete;
+    if (connection_ && parser_->keep_alive())
+    {
+        pool_.release(std::move(connection_));
+    }
+    connection_.reset();
+}
+
+} // namespace hyssoploft::http
--- /dev/null
+++ b/Libraries/LibHttp/http_client.hpp
@@ -0,0 +1,96 @@
+#ifndef HYSSOPLOFT_LIBHTTP_HTTP_CLIENT_HPP
+#define HYSSOPLOFT_LIBHTTP_HTTP_CLIENT_HPP
+
+// One call to an upstream or to another VM: whole, or streamed piece by
+// piece. The call says how far it came, since that decides whether the call
+// may be sent again.
+
+#include <LibCore/enum_table.hpp>
+#include <LibHttp/connection_pool.hpp>
+#include <LibHttp/types.hpp>
+
+#include <absl/status/statusor.h>
+#include <boost/beast/http/buffer_body.hpp>
+#include <boost/beast/http/parser.hpp>
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace hyssoploft::http {
+
+enum class call_stage : std::uint8_t
+{
+    connecting,     ///< Nothing was sent.
+    sending,        ///< Some bytes may have been sent.
+    waiting,        ///< The whole request was sent.
+    reading_answer, ///< The head of an answer came.
+    complete
+};
+
+inline constexpr core::enum_table<call_stage, 5> call_stage_names{
+    {{call_stage::connecting, "connecting"},
+     {call_stage::sending, "sending"},
+     {call_stage::waiting, "waiting"},
+     {call_stage::reading_answer, "reading_answer"},
+     {call_stage::complete, "complete"}}};
+
+class http_call : public std::enable_shared_from_this<http_call>
+{
+public:
+    explicit http_call(connection_pool& pool) : pool_(pool) {}
+
+    /// Sends `message` to "IP:port" and reads the head of the answer.
+    /// UNAVAILABLE for a broken connection, DEADLINE_EXCEEDED after `timeout`
+    /// (for connecting, sending and the head together), CANCELLED after
+    /// cancel(), DATA_LOSS for a malformed answer.
+    asio::awaitable<absl::Status> start(
+        std::string address, request message, bool fresh_connection,
+        std::chrono::nanoseconds timeout);
+
+    /// Head of the answer; valid once start() was OK.
+    const bhttp::response_header<>& head() const
+    {
+        return parser_->get();
+    }
+
+    /// The next piece of the body; empty at its end. DATA_LOSS when the
+    /// connection ended before the body did.
+    asio::awaitable<absl::StatusOr<std::string>>
+    read_some(std::chrono::nanoseconds timeout);
+
+    /// The rest of the body. RESOURCE_EXHAUSTED above `limit` bytes.
+    asio::awaitable<absl::StatusOr<std::string>>
+    read_all(std::size_t limit, std::chrono::nanoseconds timeout);
+
+    /// Ends the call from another coroutine of the same thread; the
+    /// connection is closed, which upstreams take as a cancellation.
+    void cancel();
+
+    call_stage stage() const
+    {
+        return stage_;
+    }
+
+    /// Bytes of the request and of the answer's body.
+    std::uint64_t bytes() const
+    {
+        return bytes_;
+    }
+
+private:
+    absl::Status to_status(const error_code& ec) const;
+    void finish();
+
+    connection_pool& pool_;
+    std::unique_ptr<connection> connection_; // Null before and after the call.
+    std::optional<bhttp::response_parser<bhttp::buffer_body>> parser_;
+    call_stage stage_ = call_stage::connecting;
+    bool cancelled_ = false;
+    std::uint64_t bytes_ = 0;
+};
+
+} // namespace hyssoploft::http
+
+#endif
--- /dev/null
+++ b/Libraries/LibHttp/http_server.cpp
@@ -0,0 +1,114 @@
+// Listens for callers.
+
+#include <LibHttp/http_server.hpp>
+
+#include <LibCore/text.hpp>
+
+#include <boost/asio/post.hpp>
+#include <glog/logging.h>
+
+#include <utility>
+
+namespace hyssoploft::http {
+
+namespace {
+
+// Time without accepting after an error such as a lack of descriptors.
+constexpr std::chrono::milliseconds accept_pause{100};
+
+} // namespace
+
+absl::StatusOr<std::shared_ptr<http_server>> http_server::create(
+    const options& settings,
+    std::vector<std::shared_ptr<traffic_thread>> threads,
+    std::shared_ptr<request_handler> handler)
+{
+    CHECK(!threads.empty());
+    const auto endpoint = parse_endpoint(settings.address);
+    if (!endpoint.ok())
+    {
+        return endpoint.status();
+    }
+    std::shared_ptr<http_server> server(
+        new http_server(settings, std::move(threads), std::move(handler)));
+    error_code ec;
+    auto& it = server->acceptor_;
+    it.open(endpoint->protocol(), ec);
+    if (!ec)
+    {
+        it.set_option(tcp::acceptor::reuse_address(true), ec);
+        it.bind(*endpoint, ec);
+    }
+    if (!ec)
+    {
+        it.listen(asio::socket_base::max_listen_connections, ec);
+    }
+    if (ec)
+    {
+        return absl::UnavailableError(
+            core::concat("listen on ", settings.address, ": ", ec.message()));
+    }
+    return server;
+}
+
+http_server::http_server(
+    const options& settings,
+    std::vector<std::shared_ptr<traffic_thread>> threads,
+    std::shared_ptr<request_handler> handler)
+    : max_connections_(settings.max_connections), threads_(std::move(threads)),
+      handler_(std::move(handler)), load_(std::make_shared<server_load>()),
+      acceptor_(threads_.front()->context()),
+      pause_(threads_.front()->context())
+{}
+
+void http_server::start()
+{
+    asio::post(acceptor_.get_executor(), [self = shared_from_this()] {
+        self->accept_next();
+    });
+}
+
+void http_server::drain()
+{
+    load_->draining = true;
+    asio::post(acceptor_.get_executor(), [self = shared_from_this()] {
+        error_code ec;
+        self->acceptor_.close(ec);
+    });
+}
+
+void http_server::accept_next()
+{
+    auto& thread = *threads_[next_thread_++ % threads_.size()];
+    acceptor_.async_accept(
+        thread.context(), [self = shared_from_this(),
+                           &thread](const error_code& ec, tcp::socket socket) {
+            if (!self->acceptor_.is_open())
+            {
+                return;
+            }
+            const bool full =
+                self->load_->connections >= self->max_connections_;
+            if (!ec && !full)
+            {
+                std::make_shared<server_session>(
+                    std::move(socket), thread.pool(), self->handler_,
+                    self->load_)
+                    ->start();
+            }
+            if (!ec)
+            {
+                self->accept_next();
+                return;
+            }
+            self->pause_.expires_after(accept_pause);
+            self->pause_.async_wait([self](const error_code& stopped) {
+                if (!stopped && self->acceptor_.is_open())
+                {
+                    self->accept_next();
+                }
+            });
+        });
+}
+
+} // namespace hyssoploft::http
--- /dev/null
+++ b/Libraries/LibHttp/server_session.hpp
@@ -0,0 +1,51 @@
+#ifndef HYSSOPLOFT_LIBHTTP_SERVER_SESSION_HPP
+#define HYSSOPLOFT_LIBHTTP_SERVER_SESSION_HPP
+
+// One connection of a caller: reads requests one after the other and hands
+// them to the handler. It keeps itself alive until the connection ends.
+
+#include <LibHttp/request_handler.hpp>
+
+#include <atomic>
+#include <memory>
+
+namespace hyssoploft::http {
+
+/// Numbers shared by the sessions of one server.
+struct server_load
+{
+    std::atomic<std::size_t> connections{0};
+    std::atomic<std::size_t> requests{0}; ///< Being handled now.
+    std::atomic<bool> draining{false};    ///< Close after the next answer.
+};
+
+class server_session : public std::enable_shared_from_this<server_session>
+{
+public:
+    server_session(
+        tcp::socket socket, connection_pool& pool,
+        std::shared_ptr<request_handler> handler,
+        std::shared_ptr<server_load> load);
+    ~server_session();
+
+    /// Starts on the executor of the socket.
+    void start();
+
+private:
+    asio::awaitable<void> run();
+    asio::awaitable<bool> read_request(request& out);
+    asio::awaitable<void> reject(const error_code& ec);
+    asio::awaitable<void> handle_one(request message);
+    void watch_caller(const std::shared_ptr<exchange>& it);
+
+    beast::tcp_stream stream_;
+    beast::flat_buffer buffer_; // Bytes of the next request.
+    connection_pool& pool_;
+    std::shared_ptr<request_handler> handler_;
+    std::shared_ptr<server_load> load_;
+    asio::ip::address remote_;
+};
+
+} // namespace hyssoploft::http
+
+#endif
--- /dev/null
+++ b/Tests/LibHttp/server_client.cpp
@@ -0,0 +1,259 @@
+// Contract tests of server and client on loopback: malformed input, early
+// close, reset in mid-stream, oversize parts, a caller that goes away.
+
+#include <LibHttp/http_client.hpp>
+#include <LibHttp/http_server.hpp>
+#include <Support/free_port.hpp>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/use_future.hpp>
+#include <boost/asio/write.hpp>
+#include <doctest.h>
+
+#include <future>
+
+using namespace hyssoploft;
+namespace asio = boost::asio;
+using tcp = asio::ip::tcp;
+
+namespace {
+
+using namespace std::chrono_literals;
+
+class echo_handler final : public http::request_handler
+{
+public:
+    asio::awaitable<void> handle(http::exchange& it) override
+    {
+        if (it.message().target() == "/hang")
+        {
+            asio::steady_timer never(it.executor());
+            never.expires_at(std::chrono::steady_clock::time_point::max());
+            it.on_caller_gone([&] {
+                gone.set_value();
+                never.cancel();
+            });
+            boost::system::error_code ec;
+            co_await never.async_wait(
+                asio::redirect_error(asio::use_awaitable, ec));
+            co_return;
+        }
+        if (it.message().target() == "/stream")
+        {
+            (void)co_await it.begin_stream({http::bhttp::status::ok, 11});
+            (void)co_await it.write("one");
+            (void)co_await it.write("two");
+            (void)co_await it.end_stream();
+            co_return;
+        }
+        if (it.message().target() == "/cut")
+        {
+            (void)co_await it.begin_stream({http::bhttp::status::ok, 11});
+            (void)co_await it.write("one");
+            it.close_after();
+            co_return;
+        }
+        http::response answer(http::bhttp::status::ok, 11);
+        answer.body() = it.message().body();
+        (void)co_await it.respond(std::move(answer));
+    }
+
+    std::promise<void> gone;
+};
+
+struct fixture
+{
+    fixture() : thread(std::make_shared<http::traffic_thread>())
+    {
+        auto created = http::http_server::create({address}, {thread}, handler);
+        REQUIRE(created.ok());
+        server = *created;
+        server->start();
+    }
+
+    ~fixture()
+    {
+        server->drain();
+        client.stop();
+        thread->stop();
+    }
+
+    // Sends raw bytes and returns everything until the server closes.
+    std::string raw(const std::string& text)
+    {
+        asio::io_context context;
+        tcp::socket socket(context);
+        socket.connect(*http::parse_endpoint(address));
+        boost::system::error_code ec;
+        asio::write(socket, asio::buffer(text), ec);
+        socket.shutdown(tcp::socket::shutdown_send, ec);
+        std::string all;
+        asio::read(socket, asio::dynamic_buffer(all), ec);
+        return all;
+    }
+
+    // Makes a call on the client's thread and returns its body.
+    absl::StatusOr<std::string> call(
+        const std::string& to, const std::string& target,
+        std::chrono::nanoseconds timeout = 5s)
+    {
+        return asio::co_spawn(
+                   client.context(), run_call(to, target, timeout),
+                   asio::use_future)
+            .get();
+    }
+
+    asio::awaitable<absl::StatusOr<std::string>> run_call(
+        std::string to, std::string target, std::chrono::nanoseconds timeout)
+    {
+        http::request message(http::bhttp::verb::post, target, 11);
+        message.body() = "hello";
+        const auto it = std::make_shared<http::http_call>(client.pool());
+        const auto status =
+            co_await it->start(to, std::move(message), false, timeout);
+        last_stage = it->stage();
+        if (!status.ok())
+        {
+            co_return status;
+        }
+        auto body = co_await it->read_all(1024, timeout);
+        last_stage = it->stage();
+        co_return body;
+    }
+
+    const std::string address = tests::free_address();
+    std::shared_ptr<http::traffic_thread> thread;
+    std::shared_ptr<echo_handler> handler = std::make_shared<echo_handler>();
+    std::shared_ptr<http::http_server> server;
+    http::traffic_thread client;
+    http::call_stage last_stage{};
+};
+
+// Accepts one connection, reads a little, sends `text` and closes.
+std::string one_answer_server(const std::string& text, std::thread& runner)
+{
+    auto context = std::make_shared<asio::io_context>();
+    auto acceptor = std::make_shared<tcp::acceptor>(
+        *context, tcp::endpoint(asio::ip::address_v4::loopback(), 0));
+    const auto port = acceptor->local_endpoint().port();
+    runner = std::thread([context, acceptor, text] {
+        tcp::socket socket(*context);
+        acceptor->accept(socket);
+        char buf[1024];
+        boost::system::error_code ec;
+        socket.read_some(asio::buffer(buf), ec);
+        asio::write(socket, asio::buffer(text), ec);
+    });
+    return "127.0.0.1:" + std::to_string(port);
+}
+
+} // namespace
+
+TEST_CASE("whole and streamed answers arrive")
+{
+    fixture it;
+    CHECK_EQ(it.call(it.address, "/").value(), "hello");
+    CHECK_EQ(it.call(it.address, "/stream").value(), "onetwo");
+    CHECK(it.last_stage == http::call_stage::complete);
+}
+
+TEST_CASE("malformed and oversize requests get a clear refusal")
+{
+    struct row
+    {
+        std::string text;
+        std::string status;
+    };
+    const row rows[] = {
+        {"NOT HTTP\r\n\r\n", " 400 "},
+        {"GET / HTTP/1.1\r\nA: " + std::string(20000, 'x') + "\r\n\r\n",
+         " 431 "},
+        {"POST / HTTP/1.1\r\nContent-Length: 99999999\r\n\r\n", " 413 "},
+        {"POST / HTTP/1.1\r\nContent-Length: x\r\n\r\n", " 400 "},
+        {"GET / HT", " 400 "},
+    };
+    fixture it;
+    for (const auto& row : rows)
+    {
+        CAPTURE(row.text.substr(0, 40));
+        const auto answer = it.raw(row.text);
+        CHECK_EQ(answer.substr(8, 5), row.status);
+    }
+}
+
+TEST_CASE("a cut answer never looks whole")
+{
+    struct row
+    {
+        std::string answer;
+        absl::StatusCode code;
+        http::call_stage stage;
+    };
+    const std::string head = "HTTP/1.1 200 OK\r\n";
+    const row rows[] = {
+        {"", absl::StatusCode::kUnavailable, http::call_stage::waiting},
+        {"HTTP/1.1 2", absl::StatusCode::kUnavailable,
+         http::call_stage::waiting},
+        {"NOT HTTP/1.1 AT ALL\r\n\r\n", absl::StatusCode::kDataLoss,
+         http::call_stage::waiting},
+        {head + "Content-Length: 9\r\n\r\ncut", absl::StatusCode::kDataLoss,
+         http::call_stage::reading_answer},
+        {head + "Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n",
+         absl::StatusCode::kDataLoss, http::call_stage::reading_answer},
+        {head + "Content-Length: 2000\r\n\r\n" + std::string(2000, 'x'),
+         absl::StatusCode::kResourceExhausted,
+         http::call_stage::reading_answer},
+    };
+    fixture it;
+    for (const auto& row : rows)
+    {
+        CAPTURE(row.answer.substr(0, 60));
+        std::thread runner;
+        const auto address = one_answer_server(row.answer, runner);
+        CHECK(it.call(address, "/").status().code() == row.code);
+        CHECK(it.last_stage == row.stage);
+        runner.join();
+    }
+    CHECK(
+        it.call(it.address, "/cut").status().code() ==
+        absl::StatusCode::kDataLoss);
+}
+
+TEST_CASE("a refused connection is known not to have sent anything")
+{
+    fixture it;
+    const auto status = it.call(tests::free_address(), "/").status();
+    CHECK(absl::IsUnavailable(status));
+    CHECK(it.last_stage == http::call_stage::connecting);
+}
+
+TEST_CASE("the handler hears that its caller went away")
+{
+    fixture it;
+    asio::io_context context;
+    {
+        tcp::socket socket(context);
+        socket.connect(*http::parse_endpoint(it.address));
+        asio::write(
+            socket, asio::buffer(std::string("GET /hang HTTP/1.1\r\n\r\n")));
+    }
+    CHECK(
+        it.handler->gone.get_future().wait_for(30s) ==
+        std::future_status::ready);
+}
+
+TEST_CASE("addresses are IP numbers with a port")
+{
+    for (const auto* it :
+         {"127.0.0.1", "localhost:80", "127.0.0.1:0", "127.0.0.1:70000",
+          "127.0.0.1:8x", ""})
+    {
+        CAPTURE(it);
+        CHECK_FALSE(http::parse_endpoint(it).ok());
+    }
+    CHECK(http::parse_endpoint("127.0.0.1:80").ok());
+    CHECK(http::parse_endpoint("[::1]:80").ok());
+}
