--- /dev/null
+++ b/Libraries/LibStorage/write_ahead_log.cpp
@@ -0,0 +1,300 @@
+// Layout, all numbers little-endian 64 bit:
+//   file header: magic, file id, number of sealed records, checksum of these
+//   record: magic, sequence, length, checksum of the payload, checksum of the
+//   four fields before it; then the payload
+// Both checksums of a record are seeded by the file id. Sealed records were
+// synced before the file got its name, so they are never a torn tail.
+
+#include <LibStorage/write_ahead_log.hpp>
+
+#include <LibStorage/byte_order.hpp>
+
+#include <LibCore/text.hpp>
+
+#include <optional>
+
+namespace hyssoploft::storage {
+
+namespace {
+
+constexpr std::uint64_t file_magic = 0x31304c4157534c48;   // "HLSWAL01"
+constexpr std::uint64_t record_magic = 0x31304345524c5748; // "HWLREC01"
+constexpr std::size_t file_header_bytes = 32;
+constexpr std::size_t record_header_bytes = 40;
+constexpr std::size_t header_checksum_offset = 32;
+
+std::string make_file_header(std::uint64_t file_id, std::uint64_t sealed)
+{
+    std::string header;
+    put_u64(header, file_magic);
+    put_u64(header, file_id);
+    put_u64(header, sealed);
+    put_u64(header, checksum(header, file_magic));
+    return header;
+}
+
+bool is_file_header(std::string_view content)
+{
+    return content.size() >= file_header_bytes &&
+           make_file_header(get_u64(content, 8), get_u64(content, 16)) ==
+               content.substr(0, file_header_bytes);
+}
+
+std::string make_record(
+    std::string_view payload, std::uint64_t sequence, std::uint64_t file_id)
+{
+    std::string record;
+    record.reserve(record_header_bytes + payload.size());
+    put_u64(record, record_magic);
+    put_u64(record, sequence);
+    put_u64(record, payload.size());
+    put_u64(record, checksum(payload, file_id));
+    put_u64(record, checksum(record, file_id));
+    record.append(payload);
+    return record;
+}
+
+struct record_header
+{
+    std::uint64_t sequence = 0;
+    std::uint64_t length = 0;
+    std::uint64_t payload_checksum = 0;
+};
+
+std::optional<record_header> parse_header(
+    std::string_view content, std::size_t offset, std::uint64_t file_id)
+{
+    if (content.size() - offset < record_header_bytes ||
+        get_u64(content, offset) != record_magic ||
+        get_u64(content, offset + header_checksum_offset) !=
+            checksum(content.substr(offset, header_checksum_offset), file_id))
+    {
+        return std::nullopt;
+    }
+    return record_header{
+        get_u64(content, offset + 8), get_u64(content, offset + 16),
+        get_u64(content, offset + 24)};
+}
+
+/// The payload of the intact record at `offset`, if there is one.
+std::optional<std::string_view> parse_record(
+    std::string_view content, std::size_t offset, std::uint64_t file_id,
+    std::uint64_t& sequence)
+{
+    const auto header = parse_header(content, offset, file_id);
+    if (!header ||
+        header->length > content.size() - offset - record_header_bytes)
+    {
+        return std::nullopt;
+    }
+    const std::string_view payload =
+        content.substr(offset + record_header_bytes, header->length);
+    if (checksum(payload, file_id) != header->payload_checksum)
+    {
+        return std::nullopt;
+    }
+    sequence = header->sequence;
+    return payload;
+}
+
+/// True if the header of a record stands anywhere from `offset` on: the next
+/// record was begun, so the bad one before it had been synced.
+bool has_record_after(
+    std::string_view content, std::size_t offset, std::uint64_t file_id)
+{
+    std::string magic;
+    put_u64(magic, record_magic);
+    for (std::size_t at = content.find(magic, offset);
+         at != std::string_view::npos; at = content.find(magic, at + 1))
+    {
+        if (parse_header(content, at, file_id))
+        {
+            return true;
+        }
+    }
+    return false;
+}
+
+} // namespace
+
+write_ahead_log::write_ahead_log(
+    file_system& files, const std::string& directory, const std::string& name)
+    : files_(files), directory_(directory), path_(directory + "/" + name)
+{}
+
+absl::StatusOr<std::unique_ptr<write_ahead_log>> write_ahead_log::create(
+    file_system& files, const std::string& directory, const std::string& name,
+    std::uint64_t file_id)
+{
+    std::unique_ptr<write_ahead_log> log(
+        new write_ahead_log(files, directory, name));
+    if (files.read(log->path_).status().code() != absl::StatusCode::kNotFound)
+    {
+        return absl::AlreadyExistsError(
+            core::concat(log->path_, ": exists or can't be read"));
+    }
+    if (auto status = log->rewrite({}, file_id); !status.ok())
+    {
+        return status;
+    }
+    return log;
+}
+
+absl::StatusOr<std::unique_ptr<write_ahead_log>> write_ahead_log::open(
+    file_system& files, const std::string& directory, const std::string& name,
+    recovered_log& found)
+{
+    std::unique_ptr<write_ahead_log> log(
+        new write_ahead_log(files, directory, name));
+    const auto content = files.read(log->path_);
+    if (!content.ok())
+    {
+        return content.status();
+    }
+    if (!is_file_header(*content))
+    {
+        return absl::DataLossError(
+            core::concat(log->path_, ": the file header is damaged"));
+    }
+    log->file_id_ = get_u64(*content, 8);
+    const std::uint64_t sealed = get_u64(*content, 16);
+    std::size_t offset = file_header_bytes;
+    while (offset < content->size())
+    {
+        std::uint64_t sequence = 0;
+        const auto payload =
+            parse_record(*content, offset, log->file_id_, sequence);
+        if (!payload)
+        {
+            if (has_record_after(*content, offset + 1, log->file_id_))
+            {
+                return absl::DataLossError(core::concat(
+                    log->path_, ": the record at byte ", offset,
+                    " is damaged and records follow it"));
+            }
+            break;
+        }
+        if (sequence != log->next_sequence_)
+        {
+            return absl::DataLossError(core::concat(
+                log->path_, ": record ", sequence, " at byte ", offset,
+                " stands in place of record ", log->next_sequence_));
+        }
+        found.records.emplace_back(*payload);
+        offset += record_header_bytes + payload->size();
+        ++log->next_sequence_;
+    }
+    if (found.records.size() < sealed)
+    {
+        return absl::DataLossError(core::concat(
+            log->path_, ": ", found.records.size(), " records are intact of ",
+            sealed, " that were synced"));
+    }
+    found.cut_bytes = content->size() - offset;
+    // The last record may be in the page cache only, and after a failed sync
+    // the kernel may count its pages as clean, so that another sync would not
+    // write them. New pages are certain to be written.
+    if (auto status = log->rewrite(found.records, log->file_id_); !status.ok())
+    {
+        return status;
+    }
+    return log;
+}
+
+absl::Status write_ahead_log::guarded(const absl::Status& result)
+{
+    if (!result.ok() && failure_.ok())
+    {
+        failure_ = result;
+    }
+    return result;
+}
+
+absl::Status write_ahead_log::append(std::string_view record)
+{
+    if (!failure_.ok())
+    {
+        return absl::FailedPreconditionError(core::concat(
+            path_, ": closed by an earlier error: ",
+            core::to_std(failure_.message())));
+    }
+    if (record.size() > max_record_bytes)
+    {
+        return absl::InvalidArgumentError("the record is too large");
+    }
+    return guarded(do_append(record));
+}
+
+absl::Status write_ahead_log::do_append(std::string_view record)
+{
+    const std::string bytes = make_record(record, next_sequence_, file_id_);
+    if (auto status = file_->append(bytes); !status.ok())
+    {
+        return status;
+    }
+    if (auto status = file_->sync(); !status.ok())
+    {
+        return status;
+    }
+    ++next_sequence_;
+    size_ += bytes.size();
+    return absl::OkStatus();
+}
+
+absl::Status write_ahead_log::rewrite(
+    const std::vector<std::string>& records, std::uint64_t file_id)
+{
+    if (!failure_.ok())
+    {
+        return absl::FailedPreconditionError(core::concat(
+            path_, ": closed by an earlier error: ",
+            core::to_std(failure_.message())));
+    }
+    return guarded(do_rewrite(records, file_id));
+}
+
+absl::Status write_ahead_log::do_rewrite(
+    const std::vector<std::string>& records, std::uint64_t file_id)
+{
+    const std::string temporary = path_ + ".tmp";
+    // A file left over from a crash must not become part of the new one.
+    if (auto status = files_.remove(temporary);
+        !status.ok() && !absl::IsNotFound(status))
+    {
+        return status;
+    }
+    auto opened = files_.open(temporary);
+    if (!opened.ok())
+    {
+        return opened.status();
+    }
+    std::string content = make_file_header(file_id, records.size());
+    std::uint64_t sequence = 1;
+    for (const auto& it : records)
+    {
+        content += make_record(it, sequence++, file_id);
+    }
+    if (auto status = (*opened)->append(content); !status.ok())
+    {
+        return status;
+    }
+    if (auto status = (*opened)->sync(); !status.ok())
+    {
+        return status;
+    }
+    if (auto status = files_.rename(temporary, path_); !status.ok())
+    {
+        return status;
+    }
+    if (auto status = files_.sync_directory(directory_); !status.ok())
+    {
+        return status;
+    }
+    file_ = std::move(*opened);
+    file_id_ = file_id;
+    next_sequence_ = sequence;
+    size_ = content.size();
+    return absl::OkStatus();
+}
+
+} // namespace hyssoploft::storage
