--- /dev/null
+++ b/Libraries/LibConsensus/consensus_node_election.cpp
@@ -0,0 +1,287 @@
+// Roles, votes, check of the quorum and leadership transfer.
+
+#include <LibConsensus/consensus_node.hpp>
+
+#include <LibCore/log_line.hpp>
+
+#include <glog/logging.h>
+
+namespace hyssoploft::consensus {
+
+void consensus_node::set_role(replica_role role, replica_id leader)
+{
+    const bool changed = role != role_ || leader != leader_;
+    role_ = role;
+    leader_ = leader;
+    if (changed)
+    {
+        out_.roles.push_back({role, state_.term, leader});
+    }
+}
+
+void consensus_node::reset_election_deadline()
+{
+    const auto span = static_cast<std::uint64_t>(
+        (options_.election_timeout_max - options_.election_timeout_min)
+            .count());
+    const auto extra = span > 0 ? random_.below(span) : 0;
+    election_deadline_ =
+        now_ + options_.election_timeout_min +
+        core::duration(static_cast<core::duration::rep>(extra));
+}
+
+void consensus_node::become_follower(std::uint64_t term, replica_id leader)
+{
+    CHECK_GE(term, state_.term);
+    if (term > state_.term)
+    {
+        state_ = {term, 0};
+        state_dirty_ = true;
+        verified_index_ = 0;
+        incoming_.reset();
+        leader_ = 0;
+    }
+    if (is_leader())
+    {
+        drop_leader_state();
+    }
+    if (role_ != replica_role::follower)
+    {
+        reset_election_deadline();
+    }
+    votes_.clear();
+    set_role(replica_role::follower, leader);
+}
+
+void consensus_node::drop_leader_state()
+{
+    for (const auto& it : reads_)
+    {
+        out_.reads.push_back({it.id, std::nullopt});
+    }
+    reads_.clear();
+    peers_.clear();
+    transfer_.reset();
+    round_wanted_ = false;
+    entries_to_send_ = false;
+    uncommitted_bytes_ = 0;
+}
+
+void consensus_node::start_pre_vote()
+{
+    reset_election_deadline();
+    if (!members().is_voter(self_))
+    {
+        return;
+    }
+    set_role(replica_role::pre_candidate, 0);
+    votes_ = {self_};
+    if (has_vote_quorum())
+    {
+        start_election(false);
+        return;
+    }
+    for (const auto it : members().voters)
+    {
+        if (it != self_)
+        {
+            send(it, vote_request{state_.term + 1, log_.last(), true, false});
+        }
+    }
+}
+
+void consensus_node::start_election(bool transfer)
+{
+    state_ = {state_.term + 1, self_};
+    state_dirty_ = true;
+    verified_index_ = 0;
+    incoming_.reset();
+    votes_.clear();
+    reset_election_deadline();
+    set_role(replica_role::candidate, 0);
+    for (const auto it : members().voters)
+    {
+        if (it == self_)
+        {
+            // The own vote counts once it is durable, as every other.
+            send_when_durable(it, vote_response{state_.term, false, true});
+        }
+        else
+        {
+            send_when_durable(
+                it, vote_request{state_.term, log_.last(), false, transfer});
+        }
+    }
+}
+
+void consensus_node::become_leader()
+{
+    set_role(replica_role::leader, self_);
+    votes_.clear();
+    read_round_ = 0;
+    uncommitted_bytes_ = log_.bytes_after(commit_index_);
+    follow_membership();
+    append_local(entry_kind::no_op, {});
+    first_index_of_term_ = log_.last().index;
+    next_heartbeat_ = now_ + options_.heartbeat;
+    LOG(INFO) << core::log_line("leader_elected")
+                     .with("replica", self_)
+                     .with("term", state_.term);
+}
+
+bool consensus_node::hears_leader() const
+{
+    return is_leader() || (leader_ != 0 && now_ - leader_contact_ <
+                                               options_.election_timeout_min);
+}
+
+bool consensus_node::has_vote_quorum() const
+{
+    std::size_t n = 0;
+    for (const auto it : members().voters)
+    {
+        n += votes_.count(it);
+    }
+    return n >= members().quorum();
+}
+
+void consensus_node::on(replica_id from, const vote_request& it)
+{
+    if (hears_leader() && !it.transfer)
+    {
+        return;
+    }
+    if (!it.pre_vote && it.term > state_.term)
+    {
+        become_follower(it.term, 0);
+    }
+    const log_position last = log_.last();
+    const bool up_to_date =
+        it.last.term > last.term ||
+        (it.last.term == last.term && it.last.index >= last.index);
+    if (it.pre_vote)
+    {
+        const bool granted = up_to_date && it.term > state_.term;
+        send(
+            from,
+            vote_response{granted ? it.term : state_.term, true, granted});
+        return;
+    }
+    const bool granted = up_to_date && it.term == state_.term &&
+                         (state_.voted_for == 0 || state_.voted_for == from);
+    if (granted)
+    {
+        state_dirty_ = state_dirty_ || state_.voted_for == 0;
+        state_.voted_for = from;
+        reset_election_deadline();
+    }
+    send_when_durable(from, vote_response{state_.term, false, granted});
+}
+
+void consensus_node::on(replica_id from, const vote_response& it)
+{
+    if (it.term > state_.term && !(it.pre_vote && it.granted))
+    {
+        become_follower(it.term, 0);
+        return;
+    }
+    const bool awaited =
+        it.pre_vote
+            ? role_ == replica_role::pre_candidate && it.term == state_.term + 1
+            : role_ == replica_role::candidate && it.term == state_.term;
+    if (!awaited || !it.granted || !members().is_voter(from))
+    {
+        return;
+    }
+    votes_.insert(from);
+    if (!has_vote_quorum())
+    {
+        return;
+    }
+    if (it.pre_vote)
+    {
+        start_election(false);
+    }
+    else
+    {
+        become_leader();
+    }
+}
+
+void consensus_node::on(replica_id from, const transfer_request& it)
+{
+    if (it.term == state_.term && from == leader_ && members().is_voter(self_))
+    {
+        start_election(true);
+    }
+}
+
+bool consensus_node::hears_quorum() const
+{
+    std::size_t n = members().is_voter(self_) ? 1 : 0;
+    for (const auto& [id, peer] : peers_)
+    {
+        if (members().is_voter(id) &&
+            now_ - peer.contact < options_.election_timeout_min)
+        {
+            ++n;
+        }
+    }
+    return n >= members().quorum();
+}
+
+void consensus_node::tick_leader()
+{
+    if (!hears_quorum())
+    {
+        LOG(WARNING) << core::log_line("leader_lost_quorum")
+                            .with("replica", self_)
+                            .with("term", state_.term);
+        become_follower(state_.term, 0);
+        return;
+    }
+    if (transfer_ && now_ >= transfer_->deadline)
+    {
+        transfer_.reset();
+    }
+    if (now_ >= next_heartbeat_)
+    {
+        next_heartbeat_ = now_ + options_.heartbeat;
+        broadcast(true);
+        advance_transfer();
+    }
+}
+
+absl::Status consensus_node::transfer_leadership(replica_id target)
+{
+    if (!is_leader())
+    {
+        return absl::UnavailableError("this replica is not the leader");
+    }
+    if (target == self_ || !members().is_voter(target))
+    {
+        return absl::InvalidArgumentError("the target is no other voter");
+    }
+    transfer_ = {target, now_ + options_.election_timeout_min};
+    advance_transfer();
+    return absl::OkStatus();
+}
+
+void consensus_node::advance_transfer()
+{
+    if (!transfer_)
+    {
+        return;
+    }
+    const auto it = peers_.find(transfer_->target);
+    if (it == peers_.end())
+    {
+        transfer_.reset();
+    }
+    else if (it->second.durable_index == log_.last().index)
+    {
+        send(it->first, transfer_request{state_.term});
+    }
+}
+
+} // namespace hyssoploft::consensus
--- /dev/null
+++ b/Libraries/LibConsensus/file_log_storage.cpp
@@ -0,0 +1,228 @@
+// Each record of the write-ahead log is one batch. A replacement rewrites the
+// log as a single record after its snapshot file is durable.
+
+#include <LibConsensus/file_log_storage.hpp>
+
+#include <LibCore/text.hpp>
+
+#include <cereal/archives/portable_binary.hpp>
+#include <cereal/types/optional.hpp>
+
+#include <sstream>
+
+namespace hyssoploft::consensus {
+
+namespace {
+
+constexpr const char* log_name = "replica.log";
+
+/// Where the log starts; the bytes of the snapshot are in its own file.
+struct stored_base
+{
+    log_position last;
+    membership members;
+};
+
+template <typename Archive>
+void serialize(Archive& ar, stored_base& it)
+{
+    ar(it.last, it.members);
+}
+
+struct stored_batch
+{
+    replica_id self = 0;
+    hard_state state;
+    std::optional<stored_base> base;
+    std::vector<log_entry> entries;
+};
+
+template <typename Archive>
+void serialize(Archive& ar, stored_batch& it)
+{
+    ar(it.self, it.state, it.base, it.entries);
+}
+
+std::string encode(const stored_batch& it)
+{
+    std::ostringstream out;
+    cereal::PortableBinaryOutputArchive ar(out);
+    ar(it);
+    return std::move(out).str();
+}
+
+absl::StatusOr<stored_batch> decode(const std::string& bytes)
+{
+    try
+    {
+        std::istringstream in(bytes);
+        cereal::PortableBinaryInputArchive ar(in);
+        stored_batch it;
+        ar(it);
+        return it;
+    }
+    catch (const std::exception& error)
+    {
+        return absl::DataLossError(
+            core::concat(log_name, ": unreadable record: ", error.what()));
+    }
+}
+
+/// Applies the entries of one batch; DATA_LOSS if they leave a gap.
+absl::Status
+merge(std::vector<log_entry>& entries, std::uint64_t base, stored_batch batch)
+{
+    for (auto& it : batch.entries)
+    {
+        const std::uint64_t index = it.position.index;
+        if (index <= base || index > base + entries.size() + 1)
+        {
+            return absl::DataLossError(
+                core::concat(log_name, ": a gap before entry ", index));
+        }
+        entries.resize(index - base - 1);
+        entries.push_back(std::move(it));
+    }
+    return absl::OkStatus();
+}
+
+} // namespace
+
+absl::StatusOr<std::unique_ptr<file_log_storage>> file_log_storage::open(
+    storage::file_system& files, const std::string& directory,
+    core::random_source& random, persisted_state& found)
+{
+    if (auto status = files.create_directory(directory); !status.ok())
+    {
+        return status;
+    }
+    std::unique_ptr<file_log_storage> it(
+        new file_log_storage(files, directory, random));
+    storage::recovered_log recovered;
+    auto log =
+        storage::write_ahead_log::open(files, directory, log_name, recovered);
+    if (absl::IsNotFound(log.status()))
+    {
+        const auto any = it->snapshots_.any();
+        if (!any.ok())
+        {
+            return any.status();
+        }
+        if (*any)
+        {
+            return absl::DataLossError(core::concat(
+                directory, ": there are snapshots but no ", log_name));
+        }
+        log = storage::write_ahead_log::create(
+            files, directory, log_name, random.next());
+    }
+    if (!log.ok())
+    {
+        return log.status();
+    }
+    it->log_ = std::move(*log);
+    if (auto status = it->load(recovered.records, found); !status.ok())
+    {
+        return status;
+    }
+    return it;
+}
+
+absl::Status file_log_storage::load(
+    const std::vector<std::string>& records, persisted_state& found)
+{
+    std::uint64_t base = 0;
+    for (const auto& it : records)
+    {
+        auto batch = decode(it);
+        if (!batch.ok())
+        {
+            return batch.status();
+        }
+        found.self = batch->self;
+        found.state = batch->state;
+        if (batch->base)
+        {
+            base = batch->base->last.index;
+            found.entries.clear();
+            found.base = snapshot{
+                batch->base->last, batch->base->members,
+                std::make_shared<const std::string>()};
+        }
+        if (auto status = merge(found.entries, base, std::move(*batch));
+            !status.ok())
+        {
+            return status;
+        }
+    }
+    if (found.base && base > 0)
+    {
+        auto bytes = snapshots_.read(base);
+        if (!bytes.ok())
+        {
+            return absl::DataLossError(bytes.status().message());
+        }
+        found.base->bytes =
+            std::make_shared<const std::string>(std::move(*bytes));
+    }
+    // A snapshot written just before a crash is not part of the log yet.
+    if (auto status = snapshots_.remove_except(base); !status.ok())
+    {
+        return status;
+    }
+    // Nobody has learnt an identifier before its record was durable, so a log
+    // without records is new.
+    while (found.self == 0)
+    {
+        found.self = random_.next();
+        if (found.self != 0)
+        {
+            if (auto status = log_->append(encode({found.self, {}, {}, {}}));
+                !status.ok())
+            {
+                return status;
+            }
+        }
+    }
+    self_ = found.self;
+    return absl::OkStatus();
+}
+
+absl::Status file_log_storage::persist(const persist_batch& batch)
+{
+    if (failed_)
+    {
+        return absl::FailedPreconditionError(
+            "the storage is closed by an earlier error");
+    }
+    const absl::Status status =
+        batch.replacement
+            ? replace(batch)
+            : log_->append(encode({self_, batch.state, {}, batch.entries}));
+    failed_ = !status.ok();
+    return status;
+}
+
+absl::Status file_log_storage::replace(const persist_batch& batch)
+{
+    const snapshot& base = *batch.replacement;
+    if (base.last.index > 0)
+    {
+        if (auto status = snapshots_.write(base.last.index, *base.bytes);
+            !status.ok())
+        {
+            return status;
+        }
+    }
+    const stored_batch record{
+        self_, batch.state, stored_base{base.last, base.members},
+        batch.entries};
+    if (auto status = log_->rewrite({encode(record)}, random_.next());
+        !status.ok())
+    {
+        return status;
+    }
+    return snapshots_.remove_except(base.last.index);
+}
+
+} // namespace hyssoploft::consensus
--- /dev/null
+++ b/Tests/LibConsensus/cluster.cpp
@@ -0,0 +1,392 @@
+// Fake network and driver of the replicas.
+
+#include <LibConsensus/cluster.hpp>
+
+#include <cereal/archives/portable_binary.hpp>
+#include <doctest.h>
+
+#include <algorithm>
+#include <sstream>
+
+namespace hyssoploft::tests {
+
+namespace {
+
+constexpr auto step_length = milliseconds(1);
+
+} // namespace
+
+std::string command_list::apply(std::uint64_t, std::string_view command)
+{
+    commands.emplace_back(command);
+    return commands.back();
+}
+
+std::string command_list::take_snapshot()
+{
+    std::ostringstream out;
+    cereal::PortableBinaryOutputArchive ar(out);
+    ar(commands);
+    return out.str();
+}
+
+absl::Status command_list::install_snapshot(std::string_view bytes)
+{
+    std::istringstream in{std::string(bytes)};
+    cereal::PortableBinaryInputArchive ar(in);
+    ar(commands);
+    return absl::OkStatus();
+}
+
+cluster::cluster(std::uint64_t seed, std::size_t voters) : random(seed)
+{
+    std::vector<replica_id> ids;
+    for (std::size_t i = 0; i < voters; ++i)
+    {
+        ids.push_back(replicas[add()].id);
+    }
+    for (auto& it : replicas)
+    {
+        REQUIRE(it.node->bootstrap(ids).ok());
+    }
+}
+
+std::size_t cluster::add()
+{
+    replicas.emplace_back();
+    replicas.back().clock_rate = 1;
+    lose_disk(replicas.size() - 1);
+    return replicas.size() - 1;
+}
+
+void cluster::lose_disk(std::size_t n)
+{
+    crash(n);
+    replicas[n].storage.reset();
+    replicas[n].disk = std::make_unique<fake_file_system>(random.next());
+    REQUIRE(restart(n));
+}
+
+void cluster::crash(std::size_t n)
+{
+    replicas[n].node.reset();
+    replicas[n].writing.reset();
+}
+
+bool cluster::restart(std::size_t n)
+{
+    replica& it = replicas[n];
+    it.disk->restart();
+    consensus::persisted_state found;
+    auto storage =
+        consensus::file_log_storage::open(*it.disk, "data", random, found);
+    if (!storage.ok())
+    {
+        return false;
+    }
+    it.storage = std::move(*storage);
+    it.id = found.self;
+    it.machine.commands.clear();
+    it.applied = 0;
+    auto node = consensus::consensus_node::create(
+        options, std::move(found), random, local_time(it));
+    REQUIRE(node.ok());
+    it.node = std::move(*node);
+    return true;
+}
+
+core::time_point cluster::local_time(const replica& it) const
+{
+    return core::time_point(
+        core::from_seconds(core::to_seconds(now) * it.clock_rate));
+}
+
+void cluster::set_link(std::size_t from, std::size_t to, bool up)
+{
+    if (up)
+    {
+        cut_.erase({from, to});
+    }
+    else
+    {
+        cut_.insert({from, to});
+    }
+}
+
+void cluster::isolate(std::size_t n, bool isolated)
+{
+    for (std::size_t i = 0; i < replicas.size(); ++i)
+    {
+        set_link(n, i, !isolated);
+        set_link(i, n, !isolated);
+    }
+}
+
+void cluster::run(core::duration d)
+{
+    run_until(
+        [] {
+            return false;
+        },
+        d);
+}
+
+bool cluster::run_until(const std::function<bool()>& done, core::duration bound)
+{
+    const auto end = now + bound;
+    while (!done())
+    {
+        if (now >= end)
+        {
+            return false;
+        }
+        step();
+    }
+    return true;
+}
+
+void cluster::step()
+{
+    now += step_length;
+    while (!in_transit_.empty() && in_transit_.begin()->first <= now)
+    {
+        const delivery it = std::move(in_transit_.begin()->second);
+        in_transit_.erase(in_transit_.begin());
+        std::istringstream in(it.bytes);
+        cereal::PortableBinaryInputArchive ar(in);
+        consensus::message received;
+        ar(received);
+        for (std::size_t n = 0; n < replicas.size(); ++n)
+        {
+            replica& to = replicas[n];
+            if (to.node && to.id == it.to && !cut_.contains({it.from, n}))
+            {
+                to.node->receive(received, local_time(to));
+                process(n);
+            }
+        }
+    }
+    for (std::size_t n = 0; n < replicas.size(); ++n)
+    {
+        replica& it = replicas[n];
+        if (it.node && it.writing && it.write_due <= now)
+        {
+            const auto batch = *std::exchange(it.writing, std::nullopt);
+            if (!it.storage->persist(batch).ok())
+            {
+                crash(n);
+                continue;
+            }
+            it.node->persisted(batch.sequence, local_time(it));
+            process(n);
+        }
+        if (it.node && it.node->next_deadline() <= local_time(it))
+        {
+            it.node->tick(local_time(it));
+            process(n);
+        }
+    }
+}
+
+void cluster::process(std::size_t n)
+{
+    replica& it = replicas[n];
+    auto out = it.node->take_output();
+    for (const auto& sent : out.messages)
+    {
+        post(n, sent);
+    }
+    if (out.persist)
+    {
+        REQUIRE_FALSE(it.writing.has_value());
+        it.writing = std::move(out.persist);
+        it.write_due = now + core::duration(static_cast<std::int64_t>(
+                                 random.below(faults.max_sync.count())));
+    }
+    if (out.install)
+    {
+        REQUIRE_GT(out.install->last.index, it.applied);
+        REQUIRE(it.machine.install_snapshot(*out.install->bytes).ok());
+        it.applied = out.install->last.index;
+    }
+    for (const auto& entry : out.committed)
+    {
+        apply(it, entry);
+    }
+    for (const auto& change : out.roles)
+    {
+        if (change.role == consensus::replica_role::leader)
+        {
+            const auto known = leaders_.emplace(change.term, it.id).first;
+            REQUIRE_EQ(known->second, it.id);
+        }
+    }
+    for (const auto& read : out.reads)
+    {
+        it.reads[read.id] = read.index;
+    }
+}
+
+void cluster::apply(replica& it, const consensus::log_entry& entry)
+{
+    REQUIRE_EQ(entry.position.index, it.applied + 1);
+    it.applied = entry.position.index;
+    const auto known = decided_.emplace(entry.position.index, entry).first;
+    REQUIRE(known->second == entry);
+    if (entry.kind != consensus::entry_kind::command)
+    {
+        return;
+    }
+    it.machine.apply(entry.position.index, entry.bytes);
+    const auto found =
+        proposed_.find({entry.position.index, entry.position.term});
+    if (found != proposed_.end())
+    {
+        accepted.insert(found->second);
+    }
+}
+
+void cluster::post(std::size_t from, const consensus::message& it)
+{
+    ++messages;
+    snapshot_parts += it.body.index() == 4 ? 1 : 0;
+    std::ostringstream out;
+    cereal::PortableBinaryOutputArchive ar(out);
+    ar(it);
+    largest_message = std::max(largest_message, out.str().size());
+    for (int copies = random.uniform() < faults.repeat ? 2 : 1; copies > 0;
+         --copies)
+    {
+        const auto span = static_cast<std::uint64_t>(
+            (faults.max_delay - faults.min_delay).count());
+        const auto delay =
+            faults.min_delay +
+            core::duration(static_cast<std::int64_t>(random.below(span + 1)));
+        if (random.uniform() >= faults.loss)
+        {
+            in_transit_.emplace(now + delay, delivery{from, it.to, out.str()});
+        }
+    }
+}
+
+std::optional<std::size_t> cluster::leader() const
+{
+    std::optional<std::size_t> found;
+    for (std::size_t n = 0; n < replicas.size(); ++n)
+    {
+        const auto& node = replicas[n].node;
+        if (node && node->role() == consensus::replica_role::leader &&
+            (!found || node->term() > replicas[*found].node->term()))
+        {
+            found = n;
+        }
+    }
+    return found;
+}
+
+std::size_t cluster::wait_for_leader()
+{
+    REQUIRE(run_until(
+        [&] {
+            return leader().has_value();
+        },
+        std::chrono::seconds(30)));
+    return *leader();
+}
+
+bool cluster::propose(const std::string& command)
+{
+    const auto n = leader();
+    if (!n)
+    {
+        return false;
+    }
+    const auto position = replicas[*n].node->propose(command);
+    if (position.ok())
+    {
+        proposed_[{position->index, position->term}] = command;
+        process(*n);
+    }
+    return position.ok();
+}
+
+bool cluster::commit(const std::string& command, core::duration bound)
+{
+    const auto end = now + bound;
+    return run_until(
+               [&] {
+                   return propose(command);
+               },
+               bound) &&
+           run_until(
+               [&] {
+                   return is_accepted(command);
+               },
+               end - now);
+}
+
+bool cluster::change(
+    consensus::membership_change_kind kind, replica_id id, core::duration bound)
+{
+    const auto start = [&] {
+        const auto n = leader();
+        const bool started =
+            n && replicas[*n].node->change_membership({kind, id}).ok();
+        if (started)
+        {
+            process(*n);
+        }
+        return started;
+    };
+    const auto is_done = [&] {
+        const auto n = leader();
+        if (!n)
+        {
+            return false;
+        }
+        const auto& node = *replicas[*n].node;
+        const bool voter = node.members().is_voter(id);
+        const bool learner = node.members().is_learner(id);
+        const bool as_wanted =
+            kind == consensus::membership_change_kind::promote ? voter
+            : kind == consensus::membership_change_kind::add_learner
+                ? learner
+                : !voter && !learner;
+        return as_wanted && node.commit_index() == node.last().index;
+    };
+    return run_until(start, bound) && run_until(is_done, bound);
+}
+
+void cluster::compact(std::size_t n)
+{
+    replica& it = replicas[n];
+    REQUIRE(it.node->compact(it.applied, it.machine.take_snapshot()).ok());
+    process(n);
+}
+
+bool cluster::is_converged() const
+{
+    const auto n = leader();
+    if (!n)
+    {
+        return false;
+    }
+    const auto& members = replicas[*n].node->members();
+    const auto& commands = replicas[*n].machine.commands;
+    for (const auto& it : replicas)
+    {
+        const bool is_member =
+            members.is_voter(it.id) || members.is_learner(it.id);
+        if (it.node && is_member &&
+            (it.machine.commands != commands ||
+             it.applied != replicas[*n].node->last().index))
+        {
+            return false;
+        }
+    }
+    return std::all_of(accepted.begin(), accepted.end(), [&](const auto& it) {
+        return std::count(commands.begin(), commands.end(), it) == 1;
+    });
+}
+
+} // namespace hyssoploft::tests
