--- a/Libraries/LibResource/configuration.hpp
+++ b/Libraries/LibResource/configuration.hpp
@@ -11,16 +11,53 @@
 #include <map>
 #include <set>
 #include <string>
+#include <tuple>
 #include <vector>
 
 namespace hyssoploft::resource {
 
+enum class resource_kind : std::uint8_t
+{
+    account,
+    key,
+    rate,
+    route,
+    residency,
+    upstream_role,
+    fleet
+};
+
+inline constexpr core::enum_table<resource_kind, 7> resource_kind_names{
+    {{resource_kind::account, "account"},
+     {resource_kind::key, "key"},
+     {resource_kind::rate, "rate"},
+     {resource_kind::route, "route"},
+     {resource_kind::residency, "residency"},
+     {resource_kind::upstream_role, "upstream_role"},
+     {resource_kind::fleet, "fleet"}}};
+
+/// Identifies a resource. A rate has the name of its account, the fleet the
+/// name "fleet".
+struct resource_id
+{
+    resource_kind kind = resource_kind::account;
+    std::string name;
+
+    bool operator<(const resource_id& other) const
+    {
+        return std::tie(kind, name) < std::tie(other.kind, other.name);
+    }
+    bool operator==(const resource_id&) const = default;
+};
+
 /// A client account.
 struct account
 {
     std::string name;
     std::string home_region; ///< Empty: no home.
     double weight = 1.0;     ///< Share in fair queueing; greater than 0.
+
+    bool operator==(const account&) const = default;
 };
 
 /// A caller's key; only its keyed hash is stored.
@@ -30,6 +67,8 @@
     std::string account;
     std::string digest; ///< HMAC-SHA-256 in hexadecimal.
     bool withdrawn = false;
+
+    bool operator==(const key&) const = default;
 };
 
 /// Rate and burst of the client account of the same name, over the fleet.
@@ -39,6 +78,8 @@
     double tokens_per_second = 0;
     double burst_tokens = 0;
     double floor_fraction = 0.5; ///< Part that never expires; 0 to 1.
+
+    bool operator==(const rate&) const = default;
 };
 
 enum class route_kind : std::uint8_t
@@ -88,6 +129,8 @@
     /// Expected gain, in seconds to the first token, that justifies another
     /// region.
     double remote_price_seconds = 0.25;
+
+    bool operator==(const route&) const = default;
 };
 
 /// The regions in which data may be. Never empty.
@@ -95,6 +138,8 @@
 {
     std::string name;
     std::set<std::string> regions;
+
+    bool operator==(const residency&) const = default;
 };
 
 /// What the operators declare of the upstreams that announce a role.
@@ -103,6 +148,8 @@
     std::string name;
     bool checks_issuer = false;
     bool checks_fencing = false;
+
+    bool operator==(const upstream_role&) const = default;
 };
 
 struct declared_vm
@@ -110,6 +157,8 @@
     std::string id;
     std::string region;
     std::string data_center;
+
+    bool operator==(const declared_vm&) const = default;
 };
 
 /// Byte budget of the link between two regions, one way.
@@ -118,6 +167,8 @@
     std::string from;
     std::string to;
     double bytes_per_second = 0;
+
+    bool operator==(const region_link&) const = default;
 };
 
 /// The declared VMs and links. There is one, named "fleet".
@@ -126,6 +177,8 @@
     std::vector<declared_vm> vms; ///< At most floor_slots, identifiers unique.
     std::uint32_t floor_slots = 0;
     std::vector<region_link> links;
+
+    bool operator==(const fleet&) const = default;
 };
 
 /// All resources at one version. Immutable once published.
@@ -140,6 +193,10 @@
     std::map<std::string, residency> residencies;
     std::map<std::string, upstream_role> upstream_roles;
     fleet declared_fleet;
+    /// Digests of all keys ever withdrawn or deleted; it only grows.
+    std::set<std::string> withdrawn_digests;
+    /// The version at which each resource was last changed.
+    std::map<resource_id, std::uint64_t> versions;
 };
 
 } // namespace hyssoploft::resource
--- /dev/null
+++ b/Libraries/LibResource/published_configuration.hpp
@@ -0,0 +1,53 @@
+#ifndef HYSSOPLOFT_LIBRESOURCE_PUBLISHED_CONFIGURATION_HPP
+#define HYSSOPLOFT_LIBRESOURCE_PUBLISHED_CONFIGURATION_HPP
+
+// A configuration that is changed by one thread and read by others through
+// immutable snapshots. It is copied only when it changes after it was handed
+// out, so that a replay of many changes copies nothing.
+
+#include <LibResource/configuration.hpp>
+
+#include <memory>
+#include <utility>
+
+namespace hyssoploft::resource {
+
+class published_configuration
+{
+public:
+    const configuration& view() const
+    {
+        return *value_;
+    }
+
+    std::shared_ptr<const configuration> publish() const
+    {
+        published_ = true;
+        return value_;
+    }
+
+    configuration& mutate()
+    {
+        if (published_)
+        {
+            value_ = std::make_shared<configuration>(*value_);
+            published_ = false;
+        }
+        return *value_;
+    }
+
+    void replace(configuration it)
+    {
+        value_ = std::make_shared<configuration>(std::move(it));
+        published_ = false;
+    }
+
+private:
+    std::shared_ptr<configuration> value_ = std::make_shared<configuration>();
+    // Set once another owner may hold value_; it must not change then.
+    mutable bool published_ = false;
+};
+
+} // namespace hyssoploft::resource
+
+#endif
--- /dev/null
+++ b/Libraries/LibResource/withdrawal_set.cpp
@@ -0,0 +1,70 @@
+// The set of withdrawn digests that gossip spreads.
+
+#include <LibResource/withdrawal_set.hpp>
+
+#include <LibResource/validation.hpp>
+
+namespace hyssoploft::resource {
+
+absl::Status withdrawal_set::add(const std::string& digest)
+{
+    if (!is_valid_digest(digest))
+    {
+        return absl::InvalidArgumentError("not a key digest");
+    }
+    if (digests_.size() >= max_withdrawals && !digests_.contains(digest))
+    {
+        return absl::ResourceExhaustedError("too many withdrawals");
+    }
+    digests_.insert(digest);
+    return absl::OkStatus();
+}
+
+std::vector<std::string>
+withdrawal_set::merge(const std::vector<std::string>& digests)
+{
+    std::vector<std::string> added;
+    for (const auto& it : digests)
+    {
+        if (!contains(it) && add(it).ok())
+        {
+            added.push_back(it);
+        }
+    }
+    return added;
+}
+
+std::vector<std::string> withdrawal_set::uncommitted(
+    const configuration& committed, std::size_t max_count) const
+{
+    std::vector<std::string> found;
+    for (const auto& it : digests_)
+    {
+        if (found.size() == max_count)
+        {
+            break;
+        }
+        if (!committed.withdrawn_digests.contains(it))
+        {
+            found.push_back(it);
+        }
+    }
+    return found;
+}
+
+std::size_t withdrawal_set::drop_committed(const configuration& committed)
+{
+    return std::erase_if(digests_, [&](const std::string& it) {
+        return committed.withdrawn_digests.contains(it);
+    });
+}
+
+bool is_withdrawn(
+    const configuration& committed, const withdrawal_set& heard,
+    const std::string& digest)
+{
+    return committed.withdrawn_digests.contains(digest) ||
+           heard.contains(digest);
+}
+
+} // namespace hyssoploft::resource
