--- a/Libraries/LibLedger/ledger_client.hpp
+++ b/Libraries/LibLedger/ledger_client.hpp
@@ -77,7 +77,7 @@
     std::string body; ///< At most max_stored_answer_bytes.
 };
 
-inline constexpr std::size_t max_stored_answer_bytes = 768 * 1024;
+inline constexpr std::size_t max_stored_answer_bytes = std::size_t{768} * 1024;
 
 class ledger_client
 {
