--- a/Libraries/LibResource/value_rules.cpp
+++ b/Libraries/LibResource/value_rules.cpp
@@ -102,9 +102,11 @@
 void check_match(value_checker& to, const route& it)
 {
     const bool inference = it.kind == route_kind::inference;
-    to.require(
-        it.kind == route_kind::inference || it.kind == route_kind::service,
-        "type", "is unknown");
+    if (it.kind != route_kind::inference && it.kind != route_kind::service)
+    {
+        to.add("type", "is unknown");
+        return;
+    }
     to.require(
         it.model.empty() != inference, "model",
         inference ? "is missing" : "is for inference routes only");
--- /dev/null
+++ b/Tests/LibResource/resource_store.cpp
@@ -0,0 +1,417 @@
+// Guards against batches that are applied by half, versions that go back,
+// resends that act twice, and values that break a rule of the page.
+
+#include <LibResource/samples.hpp>
+
+#include <doctest.h>
+
+#include <cmath>
+#include <functional>
+#include <limits>
+
+using namespace hyssoploft;
+using namespace hyssoploft::resource;
+using namespace hyssoploft::tests;
+
+namespace {
+
+std::string name(apply_outcome it)
+{
+    return std::string(core::name_of(apply_outcome_names, it));
+}
+
+/// A change of one field of a valid resource that must be refused.
+struct bad_value
+{
+    resource_value value;
+    std::string field;
+};
+
+template <typename T>
+bad_value bad(T it, const std::string& field, std::function<void(T&)> change)
+{
+    change(it);
+    return {it, field};
+}
+
+route order_route()
+{
+    auto it = make_route("orders");
+    it.kind = route_kind::service;
+    it.model.clear();
+    it.path_prefix = "/orders";
+    it.repeat = repeat_rule::not_repeatable;
+    return it;
+}
+
+std::vector<bad_value> bad_values()
+{
+    const auto nan = std::numeric_limits<double>::quiet_NaN();
+    const auto account = make_account("a");
+    const auto key = make_key("k", "shop");
+    const auto rate = make_rate("shop");
+    const auto route = make_route("r");
+    residency rule;
+    rule.name = "r";
+    rule.regions = {"north"};
+    using k = resource::key;
+    using r = resource::rate;
+    using ro = resource::route;
+    return {
+        {make_account(""), "name"},
+        {make_account("a b"), "name"},
+        {make_account(std::string(64, 'a')), "name"},
+        {make_account("a", 0), "weight"},
+        {make_account("a", nan), "weight"},
+        bad<resource::account>(
+            account, "home_region",
+            [](auto& it) {
+                it.home_region = "moon";
+            }),
+        bad<k>(
+            key, "digest",
+            [](auto& it) {
+                it.digest = "12";
+            }),
+        bad<k>(
+            key, "digest",
+            [](auto& it) {
+                it.digest[0] = 'X';
+            }),
+        bad<k>(
+            key, "account",
+            [](auto& it) {
+                it.account = "none";
+            }),
+        bad<k>(
+            key, "digest",
+            [](auto& it) {
+                it.digest = make_key("shop-1", "shop").digest;
+            }),
+        bad<r>(
+            rate, "burst_tokens",
+            [](auto& it) {
+                it.burst_tokens = -1;
+            }),
+        bad<r>(
+            rate, "floor_fraction",
+            [](auto& it) {
+                it.floor_fraction = 2;
+            }),
+        bad<r>(
+            rate, "tokens_per_second",
+            [nan](auto& it) {
+                it.tokens_per_second = nan;
+            }),
+        bad<r>(
+            rate, "name",
+            [](auto& it) {
+                it.account = "none";
+            }),
+        bad<ro>(
+            route, "model",
+            [](auto& it) {
+                it.model.clear();
+            }),
+        bad<ro>(
+            route, "model",
+            [](auto& it) {
+                it.model = "model-quotes";
+            }),
+        bad<ro>(
+            route, "path_prefix",
+            [](auto& it) {
+                it.path_prefix = "/x";
+            }),
+        bad<ro>(
+            route, "deadline",
+            [](auto& it) {
+                it.deadline = {};
+            }),
+        bad<ro>(
+            route, "upstream_role",
+            [](auto& it) {
+                it.upstream_role = "none";
+            }),
+        bad<ro>(
+            route, "residency",
+            [](auto& it) {
+                it.residency = "none";
+            }),
+        bad<ro>(
+            route, "type",
+            [](auto& it) {
+                it.kind = static_cast<route_kind>(7);
+            }),
+        bad<ro>(
+            order_route(), "path_prefix",
+            [](auto& it) {
+                it.path_prefix = "/v1/models";
+            }),
+        bad<ro>(
+            order_route(), "record_lifetime",
+            [](auto& it) {
+                it.record_lifetime = std::chrono::seconds(1);
+            }),
+        bad<ro>(
+            order_route(), "open",
+            [](auto& it) {
+                it.open = true;
+            }),
+        bad<residency>(
+            rule, "regions",
+            [](auto& it) {
+                it.regions.clear();
+            }),
+        bad<residency>(
+            rule, "regions",
+            [](auto& it) {
+                it.regions = {"moon"};
+            }),
+        {make_fleet(3), "vms"},
+        bad<fleet>(
+            make_fleet(), "floor_slots",
+            [](auto& it) {
+                it.floor_slots = 2001;
+            }),
+        bad<fleet>(
+            make_fleet(), "vms[1].id",
+            [](auto& it) {
+                it.vms[1].id = "n1";
+            }),
+        bad<fleet>(
+            make_fleet(), "links[0].to",
+            [](auto& it) {
+                it.links[0].to = "moon";
+            }),
+        bad<fleet>(
+            make_fleet(), "links[0].bytes_per_second",
+            [](auto& it) {
+                it.links[0].bytes_per_second = 0;
+            }),
+        bad<fleet>(
+            make_fleet(), "links[1].to",
+            [](auto& it) {
+                it.links.push_back(it.links[0]);
+            }),
+    };
+}
+
+} // namespace
+
+TEST_CASE("every rule of a value or reference is checked")
+{
+    for (const auto& it : bad_values())
+    {
+        CAPTURE(to_string(id_of(it.value)));
+        CAPTURE(it.field);
+        auto store = make_store();
+        // A valid change beside it must not be applied either.
+        const auto result = apply(
+            store,
+            make_batch("bad", {set(it.value), set(make_account("good"))}));
+        CHECK_EQ(name(result.outcome), "refused");
+        REQUIRE_EQ(result.problems.size(), 1);
+        CHECK_EQ(result.problems[0].field, it.field);
+        CHECK_EQ(store.version(), 1);
+        CHECK_FALSE(store.view().accounts.contains("good"));
+    }
+}
+
+TEST_CASE("what others refer to can't be deleted, but together with them")
+{
+    struct deletion
+    {
+        resource_kind kind;
+        const char* name;
+        std::size_t problems;
+    };
+    for (const auto& it :
+         {deletion{resource_kind::account, "shop", 2},
+          deletion{resource_kind::residency, "stay-north", 1},
+          deletion{resource_kind::upstream_role, "engine", 1},
+          deletion{resource_kind::fleet, "fleet", 2}})
+    {
+        CAPTURE(it.name);
+        auto store = make_store();
+        const auto result =
+            apply(store, make_batch("x", {remove(it.kind, it.name)}));
+        CHECK_EQ(name(result.outcome), "refused");
+        CHECK_EQ(result.problems.size(), it.problems);
+    }
+    auto store = make_store();
+    const auto result = apply(
+        store, make_batch(
+                   "x", {remove(resource_kind::account, "shop"),
+                         remove(resource_kind::rate, "shop"),
+                         remove(resource_kind::key, "shop-1")}));
+    CHECK_EQ(name(result.outcome), "applied");
+    CHECK(store.view().keys.empty());
+}
+
+TEST_CASE("compare-and-set: a stale expectation is told the current value")
+{
+    auto store = make_store();
+    apply(store, make_batch("1", {set(make_account("shop", 2), 1)}));
+    const auto result = apply(
+        store, make_batch(
+                   "2", {set(make_account("shop", 3), 1),
+                         set(make_account("other"), 0)}));
+    CHECK_EQ(name(result.outcome), "conflict");
+    REQUIRE_EQ(result.conflicts.size(), 1);
+    CHECK_EQ(result.conflicts[0].current_version, 2);
+    REQUIRE(result.conflicts[0].current.has_value());
+    CHECK(
+        *result.conflicts[0].current ==
+        resource_value(make_account("shop", 2)));
+    CHECK_FALSE(store.view().accounts.contains("other"));
+
+    const auto exists =
+        apply(store, make_batch("3", {set(make_account("shop"), 0)}));
+    CHECK_EQ(name(exists.outcome), "conflict");
+    const auto missing =
+        apply(store, make_batch("4", {set(make_account("new"), 5)}));
+    CHECK_EQ(name(missing.outcome), "conflict");
+}
+
+TEST_CASE("a resend gets the first result byte by byte")
+{
+    auto store = make_store();
+    const auto accepted = make_batch("1", {set(make_account("a"), 0)});
+    const auto conflicting = make_batch("2", {set(make_account("a", 9), 0)});
+    const auto first = store.apply(encode_batch(accepted));
+    const auto second = store.apply(encode_batch(conflicting));
+    const auto version = store.version();
+    apply(store, make_batch("3", {remove(resource_kind::account, "a")}));
+
+    auto resent = accepted;
+    resent.unix_milliseconds += 5000; // Resent through another VM, later.
+    CHECK_EQ(store.apply(encode_batch(resent)), first);
+    CHECK_EQ(store.apply(encode_batch(conflicting)), second);
+    CHECK_EQ(store.version(), version + 1);
+    CHECK_FALSE(store.view().accounts.contains("a"));
+
+    const auto reuse = apply(store, make_batch("1", {set(make_account("b"))}));
+    CHECK_EQ(name(reuse.outcome), "request_id_reuse");
+}
+
+TEST_CASE("the last 4,096 request identifiers are kept")
+{
+    resource_store store;
+    const auto batch = [](std::size_t n) {
+        return make_batch(
+            core::concat("r", n),
+            {set(make_account("a", static_cast<double>(n % 7 + 1)))});
+    };
+    for (std::size_t n = 0; n <= max_kept_requests; ++n)
+    {
+        apply(store, batch(n));
+    }
+    const auto version = store.version();
+    apply(store, batch(1));
+    CHECK_EQ(store.version(), version);
+    apply(store, batch(0)); // Forgotten: taken for a new request.
+    CHECK_EQ(store.version(), version + 1);
+}
+
+TEST_CASE("a batch that changes nothing keeps the version")
+{
+    auto store = make_store();
+    const auto result = apply(store, make_batch("again", {set(make_fleet())}));
+    CHECK_EQ(name(result.outcome), "unchanged");
+    CHECK_EQ(store.version(), 1);
+    CHECK_EQ(version_of(store.view(), {resource_kind::fleet, "fleet"}), 1);
+}
+
+TEST_CASE("duplicates and mismatched names in a batch are refused")
+{
+    auto store = make_store();
+    auto twice =
+        make_batch("1", {set(make_account("a")), set(make_account("a", 2))});
+    CHECK_EQ(name(apply(store, twice).outcome), "refused");
+    auto other = make_batch("2", {set(make_account("a"))});
+    other.changes[0].id.name = "b";
+    CHECK_EQ(name(apply(store, other).outcome), "refused");
+}
+
+TEST_CASE("malformed bytes are refused and change nothing")
+{
+    auto store = make_store();
+    const auto before = store.snapshot();
+    const auto good = encode_batch(make_batch("1", {set(make_account("a"))}));
+    std::vector<std::string> cases{
+        good + "x", std::string(1000, '\xff'),
+        std::string(max_batch_bytes + 1, '\1'),
+        encode_batch(make_batch("", {set(make_account("a"))})),
+        encode_batch(
+            make_batch(std::string(129, 'r'), {set(make_account("a"))}))};
+    for (std::size_t n = 0; n < good.size(); ++n)
+    {
+        cases.push_back(good.substr(0, n));
+    }
+    for (const auto& it : cases)
+    {
+        const auto result = decode_result(store.apply(it));
+        REQUIRE(result.ok());
+        CHECK_EQ(name(result->outcome), "malformed");
+    }
+    CHECK_EQ(store.snapshot(), before);
+}
+
+TEST_CASE("the size of a kept result is bounded")
+{
+    resource_store store;
+    std::vector<change> changes;
+    for (int n = 0; n < 500; ++n)
+    {
+        changes.push_back(
+            set(make_key(core::concat("k", n), std::string(5000, 'a'))));
+    }
+    changes.resize(40);
+    const auto bytes = store.apply(encode_batch(make_batch("1", changes)));
+    const auto result = decode_result(bytes);
+    CHECK_EQ(result->problems.size(), max_reported_items);
+    CHECK_GT(result->omitted, 0);
+    CHECK_LT(bytes.size(), 64 * 1024);
+}
+
+TEST_CASE("every batch leaves an audit entry, a resend none")
+{
+    auto store = make_store();
+    const auto batch = make_batch(
+        "1", {set(make_account("a")), remove(resource_kind::key, "shop-1")});
+    apply(store, batch);
+    apply(store, batch);
+    apply(store, make_batch("2", {set(make_account("a", -1))}));
+    const auto found = store.audit_since(1);
+    REQUIRE_EQ(found.size(), 2);
+    CHECK_EQ(found[0].sequence, 2);
+    CHECK_EQ(found[0].author, "ana");
+    CHECK_EQ(found[0].request_id, "1");
+    CHECK_EQ(found[0].unix_milliseconds, 1'700'000'000'000);
+    CHECK_EQ(
+        found[0].what,
+        std::vector<std::string>{"set account/a", "delete key/shop-1"});
+    CHECK_EQ(name(found[1].outcome), "refused");
+}
+
+TEST_CASE("a dry run tells the outcome and keeps nothing")
+{
+    const auto store = make_store();
+    const auto before = store.snapshot();
+    const auto result =
+        store.dry_run(make_batch("1", {set(make_account("a"))}));
+    CHECK_EQ(name(result.outcome), "applied");
+    CHECK_EQ(result.version, 2);
+    CHECK_EQ(store.snapshot(), before);
+}
+
+TEST_CASE("a published configuration never changes")
+{
+    auto store = make_store();
+    const auto old = store.current();
+    apply(store, make_batch("1", {set(make_account("a"))}));
+    CHECK_EQ(old->version, 1);
+    CHECK_FALSE(old->accounts.contains("a"));
+    CHECK_EQ(store.current()->version, 2);
+}
