LibMembership: Add the failure detector, registry and gossip

Every VM needs a view of all VMs and upstreams that survives loss, pauses, restarts and partitions, within 11 KB/s. fleet_member is pure: time, messages and random numbers in, messages and events out. Lease renewals travel as one byte for each upstream, aligned by digests of buckets.

--- /dev/null
+++ b/Libraries/LibMembership/failure_detector.hpp
@@ -0,0 +1,145 @@
+#ifndef HYSSOPLOFT_LIBMEMBERSHIP_FAILURE_DETECTOR_HPP
+#define HYSSOPLOFT_LIBMEMBERSHIP_FAILURE_DETECTOR_HPP
+
+// Probes VMs and declares them suspect and dead. SWIM with suspicion, and
+// with direct confirmation probes to every suspect: each VM that is about to
+// declare a death asks the suspect itself first, so that lost datagrams alone
+// don't kill a live VM.
+
+#include <LibMembership/member_table.hpp>
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace hyssoploft::membership {
+
+struct detector_timing
+{
+    core::duration probe_period = std::chrono::seconds(1);
+    core::duration probe_timeout = std::chrono::milliseconds(200);
+    core::duration suspicion = std::chrono::seconds(3);
+    /// With 20% loss, ten unanswered probes happen once in 27,000 suspicions;
+    /// refutations by gossip come on top.
+    core::duration confirm_period = std::chrono::milliseconds(300);
+    /// Dead VMs and absent seeds are contacted so often, so that two sides of
+    /// a healed partition find each other.
+    core::duration rejoin_period = std::chrono::seconds(2);
+    core::duration isolation = std::chrono::seconds(5);
+    /// A longer time between two ticks means that this process was paused;
+    /// nothing is concluded from the silence meanwhile.
+    core::duration pause = std::chrono::seconds(1);
+    std::size_t indirect_probes = 3;
+};
+
+/// A probe that the owner is to send.
+struct probe_action
+{
+    enum class probe_kind : std::uint8_t
+    {
+        ping,
+        confirm, ///< A ping without news except the suspicion itself.
+        ping_request
+    };
+
+    probe_kind kind = probe_kind::ping;
+    std::string to; ///< Empty for a seed.
+    std::string address;
+    std::uint64_t probe = 0;
+    std::string target;         ///< Of a ping_request.
+    std::string target_address; ///< Of a ping_request.
+};
+
+/// An ack to pass on.
+struct relay
+{
+    std::string requester;
+    std::string requester_address;
+    std::uint64_t probe = 0; ///< The requester's number.
+};
+
+class failure_detector
+{
+public:
+    failure_detector(
+        vm_record self, std::vector<std::string> seeds, detector_timing timing,
+        core::random_source& random);
+
+    /// Call at least every 100 ms.
+    std::vector<probe_action> tick(core::time_point now);
+
+    /// `responder` answered this probe. Returns where to pass the ack on.
+    std::optional<relay>
+    on_ack(std::uint64_t probe, const std::string& responder);
+
+    /// Probes `target` for another VM.
+    std::optional<probe_action> start_relay(
+        const std::string& requester, const std::string& requester_address,
+        const ping_request& it, core::time_point now);
+
+    /// True if the last tick came after a pause of this process.
+    bool was_paused() const
+    {
+        return paused_;
+    }
+
+    /// No peer of the region heard for the isolation time although it has
+    /// others. If all of them are dead and VMs of other regions are heard,
+    /// this VM isn't isolated: they would have passed on a refutation.
+    bool hears_no_region_peer(core::time_point now) const;
+
+    member_table& table()
+    {
+        return table_;
+    }
+
+    const member_table& table() const
+    {
+        return table_;
+    }
+
+private:
+    struct probe_in_flight
+    {
+        std::string target;
+        core::time_point sent{};
+        bool indirect = false;
+    };
+
+    struct relay_in_flight
+    {
+        relay to;
+        std::string target;
+        core::time_point sent{};
+    };
+
+    void note_pause(core::time_point now);
+    void check_probe(core::time_point now, std::vector<probe_action>& out);
+    void check_suspects(core::time_point now, std::vector<probe_action>& out);
+    void start_probe(core::time_point now, std::vector<probe_action>& out);
+    void rejoin(core::time_point now, std::vector<probe_action>& out);
+    const member* next_target();
+
+    static constexpr std::size_t max_relays_ = 256;
+
+    const std::vector<std::string> seeds_;
+    const detector_timing timing_;
+    core::random_source& random_;
+    member_table table_;
+    std::vector<std::string> order_; // Of probes; shuffled in each round.
+    std::size_t next_in_order_ = 0;
+    std::uint64_t next_probe_;
+    std::map<std::uint64_t, probe_in_flight> probes_; // At most one a period.
+    std::map<std::uint64_t, relay_in_flight> relays_; // At most max_relays_.
+    std::optional<core::time_point> last_tick_;
+    core::time_point started_{};
+    core::time_point next_period_{};
+    core::time_point next_rejoin_{};
+    bool paused_ = false;
+};
+
+} // namespace hyssoploft::membership
+
+#endif
--- /dev/null
+++ b/Libraries/LibMembership/fleet_member_news.cpp
@@ -0,0 +1,270 @@
+// What rides on probes, within the bytes of a datagram.
+
+#include <LibMembership/fleet_member.hpp>
+
+#include <algorithm>
+
+namespace hyssoploft::membership {
+
+namespace {
+
+// Six length fields of a piggyback.
+constexpr std::size_t list_bytes = 12;
+// Bucket, digest and length of one bucket's renewals or loads.
+constexpr std::size_t bucket_bytes = 7;
+// Lists of a valid message hold at most 64 elements.
+constexpr std::size_t max_updates = 32;
+constexpr std::size_t news_factor = 4;
+// Withdrawals must arrive within seconds, so they are repeated more often.
+constexpr std::size_t withdrawal_factor = 6;
+
+/// Bytes that are left; `take` reserves some of them.
+class byte_budget
+{
+public:
+    explicit byte_budget(std::size_t left) : left_(left) {}
+
+    bool take(std::size_t n)
+    {
+        if (n > left_)
+        {
+            return false;
+        }
+        left_ -= n;
+        return true;
+    }
+
+    std::size_t left() const
+    {
+        return left_;
+    }
+
+private:
+    std::size_t left_;
+};
+
+} // namespace
+
+void fleet_member::add_beliefs(
+    std::vector<member_update>& out, const std::string& about) const
+{
+    const auto* it = detector_.table().find(about);
+    if (it != nullptr && (it->record.state == vm_state::suspect ||
+                          it->record.state == vm_state::dead))
+    {
+        out.push_back(detector_.table().update_of(*it, true));
+    }
+}
+
+void fleet_member::fill_news(
+    piggyback& out, std::size_t used, const std::string& to,
+    core::time_point now)
+{
+    const auto whole = options_.datagram_payload;
+    byte_budget budget(whole - std::min(whole, used + list_bytes));
+    const auto* receiver = detector_.table().find(to);
+    add_beliefs(out.members, to);
+    for (const auto& it : out.members)
+    {
+        budget.take(encoded_size(it));
+    }
+    // News of changes takes at most half, so that a wave of changes doesn't
+    // starve the leases of upstreams.
+    const auto reserved = upstreams_.entries().empty() ? 0 : budget.left() / 2;
+    byte_budget changes(budget.left() - reserved);
+    const auto vms = detector_.table().live_count() + 1;
+    withdrawals_.queue().transmit(
+        retransmit_limit(vms, withdrawal_factor), [&](const key_digest& it) {
+            const bool fits = out.withdrawn.size() < max_updates &&
+                              withdrawals_.items().count(it) != 0 &&
+                              changes.take(it.size());
+            if (fits)
+            {
+                out.withdrawn.push_back(it);
+            }
+            return fits;
+        });
+    upstreams_.queue().transmit(
+        retransmit_limit(vms, news_factor), [&](const std::string& id) {
+            const auto* it = upstreams_.find(id);
+            if (it == nullptr)
+            {
+                return true;
+            }
+            auto update = upstreams_.update_of(*it, it->left);
+            const bool fits = out.upstreams.size() < max_updates &&
+                              changes.take(encoded_size(update));
+            if (fits)
+            {
+                out.upstreams.push_back(std::move(update));
+            }
+            return fits;
+        });
+    auto& table = detector_.table();
+    table.queue().transmit(
+        retransmit_limit(vms, news_factor), [&](const std::string& id) {
+            // Every message has the sender's own record already.
+            const auto* it = table.find(id);
+            if (it == nullptr)
+            {
+                return id != table.self().id || vms == 1;
+            }
+            const bool brief = it->record.state != vm_state::alive;
+            auto update = table.update_of(*it, brief);
+            const bool fits = out.members.size() < max_updates &&
+                              changes.take(encoded_size(update));
+            if (fits)
+            {
+                out.members.push_back(std::move(update));
+            }
+            return fits;
+        });
+    byte_budget rest(changes.left() + reserved);
+    for (std::size_t n = 0; n < bucket_count; ++n)
+    {
+        auto it = upstreams_.renewals_of(next_renewals_);
+        if (!it.renewals.empty())
+        {
+            if (!rest.take(bucket_bytes + it.renewals.size()))
+            {
+                break;
+            }
+            out.renewals.push_back(std::move(it));
+        }
+        next_renewals_ = (next_renewals_ + 1) % bucket_count;
+    }
+    const auto region = receiver != nullptr ? receiver->record.region : "";
+    for (auto& it : summaries(region, now))
+    {
+        if (rest.take(encoded_size(it)))
+        {
+            out.summaries.push_back(std::move(it));
+        }
+    }
+    if (region != options_.self.region)
+    {
+        return;
+    }
+    for (std::size_t n = 0; n < bucket_count; ++n)
+    {
+        auto it = upstreams_.loads_of(next_loads_, now);
+        if (!it.loads.empty())
+        {
+            if (!rest.take(bucket_bytes + it.loads.size()))
+            {
+                break;
+            }
+            out.loads.push_back(std::move(it));
+        }
+        next_loads_ = (next_loads_ + 1) % bucket_count;
+    }
+}
+
+void fleet_member::take_news(
+    const piggyback& it, const member_update& sender, core::time_point now)
+{
+    for (const auto& digest : it.withdrawn)
+    {
+        add_withdrawal(digest);
+    }
+    for (const auto& update : it.members)
+    {
+        detector_.table().apply(update, now);
+    }
+    for (const auto& update : it.upstreams)
+    {
+        upstreams_.apply(update, now);
+    }
+    bool in_step = true;
+    for (const auto& renewals : it.renewals)
+    {
+        in_step = upstreams_.apply_renewals(renewals, now) && in_step;
+    }
+    for (const auto& summary : it.summaries)
+    {
+        take_summary(summary, now);
+    }
+    if (sender.region == options_.self.region)
+    {
+        for (const auto& loads : it.loads)
+        {
+            loads_changed_ =
+                upstreams_.apply_loads(loads, now) || loads_changed_;
+        }
+    }
+    const auto* peer = detector_.table().find(sender.id);
+    if (!in_step && peer != nullptr &&
+        now - last_sync_ >= options_.min_sync_gap)
+    {
+        start_sync(*peer, now);
+    }
+}
+
+void fleet_member::add_withdrawal(const key_digest& it)
+{
+    const auto added = withdrawals_.add(it);
+    if (!added.ok())
+    {
+        // The owner still learns of it: a full set must not keep a withdrawn
+        // key in force.
+        ++counters_.withdrawals_refused;
+    }
+    if (!added.ok() || *added)
+    {
+        events_.emplace_back(key_withdrawn{it});
+    }
+}
+
+std::vector<summary_update> fleet_member::summaries(
+    const std::string& for_region, core::time_point now) const
+{
+    std::vector<summary_update> out;
+    if (for_region != options_.self.region)
+    {
+        out.push_back(upstreams_.own_summary());
+    }
+    for (const auto& [region, it] : regions_)
+    {
+        if (region == for_region)
+        {
+            continue;
+        }
+        const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(
+                             now - it.measured)
+                             .count();
+        constexpr std::int64_t oldest = 3600 * 1000;
+        if (age < oldest)
+        {
+            out.push_back(
+                {region,
+                 static_cast<std::uint32_t>(std::max<std::int64_t>(age, 0)),
+                 it.upstreams, it.capacity, it.running, it.queued,
+                 static_cast<std::uint64_t>(it.tokens_per_second)});
+        }
+    }
+    return out;
+}
+
+void fleet_member::take_summary(const summary_update& it, core::time_point now)
+{
+    if (it.region == options_.self.region ||
+        (regions_.size() >= max_regions_ && regions_.count(it.region) == 0))
+    {
+        return;
+    }
+    const auto measured = now - std::chrono::milliseconds(it.age_ms);
+    auto& known = regions_[it.region];
+    if (known.measured == core::time_point{} || measured > known.measured)
+    {
+        known = {
+            it.upstreams,
+            it.capacity,
+            it.running,
+            it.queued,
+            static_cast<double>(it.tokens_per_second),
+            measured};
+        loads_changed_ = true;
+    }
+}
+
+} // namespace hyssoploft::membership
--- /dev/null
+++ b/Libraries/LibMembership/fleet_member_sync.cpp
@@ -0,0 +1,340 @@
+// Push-pull exchange of tables: digests of buckets, then rows of the buckets
+// that differ, then the records that one side lacks.
+
+#include <LibMembership/fleet_member.hpp>
+#include <LibMembership/table_hash.hpp>
+
+#include <algorithm>
+#include <set>
+
+namespace hyssoploft::membership {
+
+namespace {
+
+// Records of one message; what doesn't fit follows in the next exchange. A
+// frame holds 1 MiB with withdrawals and rows.
+constexpr std::size_t max_record_bytes = std::size_t{512} << 10;
+// Time that an exchange may take before another is started.
+constexpr core::duration sync_retry = std::chrono::seconds(1);
+
+std::uint16_t differing(const bucket_digests& a, const bucket_digests& b)
+{
+    unsigned out = 0;
+    for (std::size_t n = 0; n < bucket_count; ++n)
+    {
+        out |= a[n] != b[n] ? 1U << n : 0U;
+    }
+    return static_cast<std::uint16_t>(out);
+}
+
+bool is_row_newer(
+    std::uint64_t incarnation, std::uint64_t described, bool left,
+    const table_row& row)
+{
+    const bool row_left =
+        row.state == static_cast<std::uint8_t>(upstream_state::leaving);
+    if (incarnation != row.incarnation)
+    {
+        return incarnation > row.incarnation;
+    }
+    return described > row.described || (left && !row_left);
+}
+
+} // namespace
+
+void fleet_member::sync_periodically(core::time_point now)
+{
+    const bool urgent = sync_wanted_ && now - last_sync_ >= sync_retry;
+    if (!urgent && now < next_sync_)
+    {
+        return;
+    }
+    const auto& region = options_.self.region;
+    const auto heard = [&](const member& m) {
+        return m.record.state == vm_state::alive &&
+               m.heard != core::time_point{} &&
+               now - m.heard < options_.timing.isolation;
+    };
+    auto with = detector_.table().pick(1, random_, [&](const member& m) {
+        return urgent && m.record.region == region && heard(m);
+    });
+    if (with.empty() && (!urgent || !isolated_))
+    {
+        with = detector_.table().pick(1, random_, [](const member& m) {
+            return m.record.state == vm_state::alive;
+        });
+    }
+    if (!with.empty())
+    {
+        start_sync(*with.front(), now);
+    }
+}
+
+void fleet_member::start_sync(const member& with, core::time_point now)
+{
+    last_sync_ = now;
+    // Jitter keeps VMs from exchanging in step.
+    next_sync_ =
+        now + options_.sync_period / 2 +
+        core::from_seconds(
+            core::to_seconds(options_.sync_period) * random_.uniform());
+    ++counters_.syncs_started;
+    send(
+        with.record.id, with.record.peer_address,
+        make_sync(sync_stage::digests, now));
+}
+
+state_sync fleet_member::make_sync(sync_stage stage, core::time_point now)
+{
+    state_sync out;
+    out.stage = stage;
+    out.self = detector_.table().self_update();
+    out.withdrawn_digest = withdrawals_.digest();
+    if (stage == sync_stage::digests || stage == sync_stage::rows)
+    {
+        out.member_digests = detector_.table().digests();
+        out.upstream_digests = upstreams_.digests();
+        out.summaries = summaries("", now);
+    }
+    return out;
+}
+
+void fleet_member::on(const state_sync& it, core::time_point now)
+{
+    for (const auto& digest : it.withdrawn)
+    {
+        add_withdrawal(digest);
+    }
+    for (const auto& summary : it.summaries)
+    {
+        take_summary(summary, now);
+    }
+    take_records(it, now);
+    switch (it.stage)
+    {
+    case sync_stage::digests:
+        return answer_digests(it, now);
+    case sync_stage::rows:
+        on_synced(it.self);
+        return answer_rows(it, now);
+    case sync_stage::records:
+        return answer_records(it, now);
+    case sync_stage::last:
+        return on_synced(it.self);
+    }
+}
+
+void fleet_member::answer_digests(const state_sync& it, core::time_point now)
+{
+    auto out = make_sync(sync_stage::rows, now);
+    out.member_buckets = differing(it.member_digests, out.member_digests);
+    out.upstream_buckets = differing(it.upstream_digests, out.upstream_digests);
+    const bool same_keys = it.withdrawn_digest == withdrawals_.digest();
+    if (out.member_buckets == 0 && out.upstream_buckets == 0 && same_keys)
+    {
+        ++counters_.syncs_in_step;
+        out = make_sync(sync_stage::last, now);
+        return send(it.self.id, it.self.peer_address, std::move(out));
+    }
+    for (std::size_t n = 0; n < bucket_count; ++n)
+    {
+        if ((out.member_buckets >> n & 1U) != 0)
+        {
+            detector_.table().append_rows(n, out.member_rows);
+        }
+        if ((out.upstream_buckets >> n & 1U) != 0)
+        {
+            upstreams_.append_rows(n, out.upstream_rows);
+        }
+    }
+    if (!same_keys)
+    {
+        out.withdrawn.assign(
+            withdrawals_.items().begin(), withdrawals_.items().end());
+    }
+    send(it.self.id, it.self.peer_address, std::move(out));
+}
+
+void fleet_member::answer_rows(const state_sync& it, core::time_point now)
+{
+    auto out = make_sync(sync_stage::records, now);
+    if (it.withdrawn_digest != withdrawals_.digest())
+    {
+        out.withdrawn.assign(
+            withdrawals_.items().begin(), withdrawals_.items().end());
+    }
+    std::map<std::uint64_t, table_row> rows;
+    for (const auto& row : it.member_rows)
+    {
+        rows.emplace(row.id_hash, row);
+    }
+    std::size_t bytes = 0;
+    const auto& table = detector_.table();
+    const auto offer = [&](const vm_record& r, std::uint64_t hash,
+                           member_update update) {
+        if ((it.member_buckets >> bucket_of(hash) & 1U) == 0)
+        {
+            return;
+        }
+        const auto found = rows.find(hash);
+        const bool unknown = found == rows.end();
+        if (unknown ? r.state != vm_state::dead
+                    : is_newer(
+                          r.incarnation, r.state, found->second.incarnation,
+                          static_cast<vm_state>(found->second.state)))
+        {
+            bytes += encoded_size(update);
+            if (bytes <= max_record_bytes)
+            {
+                out.members.push_back(std::move(update));
+            }
+        }
+        else if (
+            !unknown && is_newer(
+                            found->second.incarnation,
+                            static_cast<vm_state>(found->second.state),
+                            r.incarnation, r.state))
+        {
+            out.wanted_members.push_back(hash);
+        }
+        rows.erase(hash);
+    };
+    for (const auto& [id, m] : table.members())
+    {
+        offer(m.record, m.id_hash, table.update_of(m, false));
+    }
+    offer(table.self(), hash_text(table.self().id), table.self_update());
+    for (const auto& [hash, row] : rows)
+    {
+        if (row.state != static_cast<std::uint8_t>(vm_state::dead))
+        {
+            out.wanted_members.push_back(hash);
+        }
+    }
+
+    rows.clear();
+    for (const auto& row : it.upstream_rows)
+    {
+        rows.emplace(row.id_hash, row);
+        upstreams_.renew(row, now);
+    }
+    for (const auto& [id, e] : upstreams_.entries())
+    {
+        const auto hash = e.id_hash;
+        if ((it.upstream_buckets >> bucket_of(hash) & 1U) == 0)
+        {
+            continue;
+        }
+        const auto found = rows.find(hash);
+        const bool ended = e.record.state == upstream_state::expired;
+        // A live lease here may have ended there for lack of news.
+        const bool revives =
+            found != rows.end() && !ended &&
+            found->second.incarnation == e.record.incarnation &&
+            e.record.sequence > found->second.sequence;
+        if (found == rows.end()
+                ? !ended
+                : revives || is_row_newer(
+                                 e.record.incarnation, e.described, e.left,
+                                 found->second))
+        {
+            const bool known =
+                found != rows.end() &&
+                found->second.incarnation == e.record.incarnation &&
+                found->second.described >= e.described;
+            auto update = upstreams_.update_of(e, known);
+            bytes += encoded_size(update);
+            if (bytes <= max_record_bytes)
+            {
+                out.upstreams.push_back(std::move(update));
+            }
+        }
+        if (found != rows.end())
+        {
+            const auto& row = found->second;
+            const bool row_left =
+                row.state == static_cast<std::uint8_t>(upstream_state::leaving);
+            const bool wanted =
+                row.incarnation != e.record.incarnation
+                    ? row.incarnation > e.record.incarnation
+                    : row.described > e.described || (row_left && !e.left);
+            if (wanted)
+            {
+                out.wanted_upstreams.push_back(hash);
+            }
+            rows.erase(found);
+        }
+    }
+    for (const auto& [hash, row] : rows)
+    {
+        if (row.state != static_cast<std::uint8_t>(upstream_state::expired))
+        {
+            out.wanted_upstreams.push_back(hash);
+        }
+    }
+    const bool nothing = out.members.empty() && out.upstreams.empty() &&
+                         out.wanted_members.empty() &&
+                         out.wanted_upstreams.empty() && out.withdrawn.empty();
+    if (!nothing)
+    {
+        send(it.self.id, it.self.peer_address, std::move(out));
+    }
+}
+
+void fleet_member::answer_records(const state_sync& it, core::time_point now)
+{
+    auto out = make_sync(sync_stage::last, now);
+    const std::set<std::uint64_t> members(
+        it.wanted_members.begin(), it.wanted_members.end());
+    const std::set<std::uint64_t> upstreams(
+        it.wanted_upstreams.begin(), it.wanted_upstreams.end());
+    const auto& table = detector_.table();
+    std::size_t bytes = 0;
+    for (const auto& [id, m] : table.members())
+    {
+        if (members.count(m.id_hash) != 0 && bytes < max_record_bytes)
+        {
+            out.members.push_back(table.update_of(m, false));
+            bytes += encoded_size(out.members.back());
+        }
+    }
+    for (const auto& [id, e] : upstreams_.entries())
+    {
+        if (upstreams.count(e.id_hash) != 0 && bytes < max_record_bytes)
+        {
+            out.upstreams.push_back(upstreams_.update_of(e, false));
+            bytes += encoded_size(out.upstreams.back());
+        }
+    }
+    send(it.self.id, it.self.peer_address, std::move(out));
+}
+
+void fleet_member::take_records(const state_sync& it, core::time_point now)
+{
+    for (const auto& update : it.members)
+    {
+        detector_.table().apply(update, now);
+    }
+    for (const auto& update : it.upstreams)
+    {
+        upstreams_.apply(update, now);
+    }
+}
+
+void fleet_member::on_synced(const member_update& with)
+{
+    if (with.region != options_.self.region)
+    {
+        return;
+    }
+    sync_wanted_ = false;
+    if (isolated_)
+    {
+        isolated_ = false;
+        detector_.table().update_self([](vm_record& it) {
+            it.isolated = false;
+        });
+    }
+}
+
+} // namespace hyssoploft::membership
--- a/Libraries/LibMembership/fleet_view.hpp
+++ b/Libraries/LibMembership/fleet_view.hpp
@@ -39,7 +39,8 @@
     vm_state state = vm_state::alive;
     std::uint64_t config_version = 0; ///< In force at that VM.
     bool overloaded = false;
-    bool control = false; ///< Holds a replica of the log.
+    bool control = false;  ///< Holds a replica of the log.
+    bool isolated = false; ///< It hears from no peer of its region.
 };
 
 enum class upstream_state : std::uint8_t
@@ -91,6 +92,17 @@
     load_report load;
 };
 
+/// Load of one region's serving upstreams, as other regions see it.
+struct region_summary
+{
+    std::uint32_t upstreams = 0;
+    std::uint64_t capacity = 0;
+    std::uint64_t running = 0;
+    std::uint64_t queued = 0;
+    double tokens_per_second = 0;
+    core::time_point measured{}; ///< On this VM's clock, from its stated age.
+};
+
 /// Immutable once published.
 struct fleet_view
 {
@@ -99,6 +111,8 @@
     std::map<std::string, upstream_record> upstreams;
     /// This VM hears from no peer of its region although it has others.
     bool isolated = false;
+    /// Other regions only; full load reports stay inside a region.
+    std::map<std::string, region_summary> regions;
 };
 
 } // namespace hyssoploft::membership
--- /dev/null
+++ b/Libraries/LibMembership/load_code.hpp
@@ -0,0 +1,38 @@
+#ifndef HYSSOPLOFT_LIBMEMBERSHIP_LOAD_CODE_HPP
+#define HYSSOPLOFT_LIBMEMBERSHIP_LOAD_CODE_HPP
+
+// Numbers of a load report in one byte each: exact up to 16, then
+// logarithmic with an error below 3%, up to about 500,000.
+
+#include <algorithm>
+#include <cmath>
+#include <cstdint>
+
+namespace hyssoploft::membership {
+
+constexpr double load_code_base = 16;
+
+inline std::uint8_t to_load_code(double n)
+{
+    if (!(n > 0))
+    {
+        return 0;
+    }
+    if (n < load_code_base)
+    {
+        return static_cast<std::uint8_t>(std::lround(n));
+    }
+    const double code = load_code_base * (1 + std::log2(n / load_code_base));
+    return static_cast<std::uint8_t>(std::lround(std::min(code, 255.0)));
+}
+
+inline double from_load_code(std::uint8_t code)
+{
+    return code <= load_code_base
+               ? code
+               : load_code_base * std::exp2(code / load_code_base - 1);
+}
+
+} // namespace hyssoploft::membership
+
+#endif
--- /dev/null
+++ b/Libraries/LibMembership/member_table.hpp
@@ -0,0 +1,139 @@
+#ifndef HYSSOPLOFT_LIBMEMBERSHIP_MEMBER_TABLE_HPP
+#define HYSSOPLOFT_LIBMEMBERSHIP_MEMBER_TABLE_HPP
+
+// What this VM believes about every VM, merged from news in any order.
+
+#include <LibCore/random_source.hpp>
+#include <LibCore/time.hpp>
+#include <LibMembership/broadcast_queue.hpp>
+#include <LibMembership/messages.hpp>
+
+#include <chrono>
+#include <cstddef>
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace hyssoploft::membership {
+
+struct member
+{
+    vm_record record;
+    std::uint64_t id_hash = 0;
+    core::time_point heard{};         ///< Last message from the VM itself.
+    core::time_point changed{};       ///< Last change of state.
+    core::time_point suspect_until{}; ///< Valid while suspect.
+    core::time_point next_confirm{};  ///< Valid while suspect.
+    bool left = false; ///< Dead after it had announced that it leaves.
+};
+
+class member_table
+{
+public:
+    /// Twice the VMs of the target, so that tombstones of replaced VMs fit.
+    static constexpr std::size_t bound = 1024;
+
+    /// Peers that have a VM declared dead for less than this don't take old
+    /// news that it is alive. It exceeds the partitions of an hour that are
+    /// expected, so that both sides still know whom to contact afterwards.
+    static constexpr core::duration tombstone_life = std::chrono::hours(2);
+
+    member_table(vm_record self, core::duration suspicion)
+        : self_(std::move(self)), suspicion_(suspicion), queue_(bound)
+    {
+        queue_.push(self_.id);
+    }
+
+    /// Merges news. The higher incarnation wins; within one the order is
+    /// alive, suspect, leaving, dead. News against this VM is refuted by a
+    /// higher incarnation. True if the table changed.
+    bool apply(const member_update& it, core::time_point now);
+
+    /// Merges what a VM says about itself in a message of its own.
+    bool apply_own_words(const member_update& it, core::time_point now);
+
+    /// Declares a state that this VM found itself.
+    void declare(member& it, vm_state state, core::time_point now);
+
+    void drop_tombstones(core::time_point now);
+
+    const vm_record& self() const
+    {
+        return self_;
+    }
+
+    /// A change of what all VMs must know about this one.
+    void update_self(const std::function<void(vm_record&)>& change);
+
+    /// In force at this VM; travels with its own messages only.
+    void set_config_version(std::uint64_t version)
+    {
+        self_.config_version = version;
+        ++changes_;
+    }
+
+    /// Rises with each change that a fleet_view shows.
+    std::uint64_t changes() const
+    {
+        return changes_;
+    }
+
+    member_update self_update() const;
+    member_update update_of(const member& it, bool brief) const;
+
+    member* find(const std::string& id);
+    const member* find(const std::string& id) const;
+
+    std::map<std::string, member>& members()
+    {
+        return members_;
+    }
+
+    const std::map<std::string, member>& members() const
+    {
+        return members_;
+    }
+
+    /// Members that aren't dead, without this VM.
+    std::size_t live_count() const
+    {
+        return live_;
+    }
+
+    /// Up to `n` random members that satisfy the predicate.
+    std::vector<const member*> pick(
+        std::size_t n, core::random_source& random,
+        const std::function<bool(const member&)>& accept) const;
+
+    /// Covers live members and this VM; suspicion isn't part of it.
+    bucket_digests digests() const;
+
+    /// Rows of a bucket, with tombstones and this VM.
+    void append_rows(std::size_t bucket, std::vector<table_row>& out) const;
+
+    broadcast_queue<std::string>& queue()
+    {
+        return queue_;
+    }
+
+private:
+    void refute(const member_update& it);
+    void set_state(member& it, vm_state state, core::time_point now);
+
+    vm_record self_;
+    const core::duration suspicion_;
+    std::map<std::string, member> members_; // At most bound, without self.
+    std::uint64_t changes_ = 0;
+    std::size_t live_ = 0; // Members of members_ that aren't dead.
+    broadcast_queue<std::string> queue_;
+};
+
+/// True if (incarnation, state) a is newer than b.
+bool is_newer(
+    std::uint64_t incarnation_a, vm_state a, std::uint64_t incarnation_b,
+    vm_state b);
+
+} // namespace hyssoploft::membership
+
+#endif
--- /dev/null
+++ b/Libraries/LibMembership/messages.hpp
@@ -0,0 +1,263 @@
+#ifndef HYSSOPLOFT_LIBMEMBERSHIP_MESSAGES_HPP
+#define HYSSOPLOFT_LIBMEMBERSHIP_MESSAGES_HPP
+
+// Messages of this library. The owner encodes them with LibWire: ping, ack
+// and ping_request as datagrams, state_sync as a TCP frame.
+
+#include <LibMembership/fleet_view.hpp>
+
+#include <array>
+#include <cstdint>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace hyssoploft::membership {
+
+using key_digest = std::array<std::uint8_t, 32>;
+
+/// Tables are compared by digests of this many parts, so that one change
+/// costs the transfer of one part.
+inline constexpr std::size_t bucket_count = 16;
+
+/// News about a VM. Without addresses (`region` empty) it carries only the
+/// state.
+struct member_update
+{
+    std::string id;
+    std::uint64_t incarnation = 0;
+    vm_state state = vm_state::alive;
+    std::string region;
+    std::string data_center;
+    std::string http_address;
+    std::string peer_address;
+    std::uint64_t config_version = 0;
+    bool overloaded = false;
+    bool control = false;
+    bool isolated = false;
+
+    template <typename Archive>
+    void serialize(Archive& ar)
+    {
+        ar(id, incarnation, state, region, data_center, http_address,
+           peer_address, config_version, overloaded, control, isolated);
+    }
+};
+
+/// News about an upstream. Without an address it carries only the state.
+struct upstream_update
+{
+    std::string id;
+    std::uint64_t incarnation = 0;
+    std::uint64_t sequence = 0;
+    /// Sequence of the announcement that last changed the fields below.
+    std::uint64_t described = 0;
+    upstream_state state = upstream_state::serving;
+    std::string address;
+    std::string role;
+    std::string region;
+    std::string data_center;
+    std::vector<std::string> models;
+    std::vector<std::string> adapters;
+    std::string version;
+    std::uint32_t capacity = 1;
+    std::uint8_t capabilities = 0; ///< Bits of capability_bits().
+
+    template <typename Archive>
+    void serialize(Archive& ar)
+    {
+        ar(id, incarnation, sequence, described, state, address, role, region,
+           data_center, models, adapters, version, capacity, capabilities);
+    }
+};
+
+/// Lease renewals of one bucket: one byte for each live upstream in the order
+/// of identifiers. It means anything only to a VM with the same digest.
+struct bucket_renewals
+{
+    std::uint8_t bucket = 0;
+    std::array<std::uint8_t, 4> digest{};
+    std::string renewals;
+
+    template <typename Archive>
+    void serialize(Archive& ar)
+    {
+        ar(bucket, digest, renewals);
+    }
+};
+
+/// Load of the live upstreams of one region in a bucket, `load_bytes` each.
+struct bucket_loads
+{
+    std::uint8_t bucket = 0;
+    std::array<std::uint8_t, 4> digest{};
+    std::string loads;
+
+    template <typename Archive>
+    void serialize(Archive& ar)
+    {
+        ar(bucket, digest, loads);
+    }
+};
+
+struct summary_update
+{
+    std::string region;
+    std::uint32_t age_ms = 0;
+    std::uint32_t upstreams = 0;
+    std::uint64_t capacity = 0;
+    std::uint64_t running = 0;
+    std::uint64_t queued = 0;
+    std::uint64_t tokens_per_second = 0;
+
+    template <typename Archive>
+    void serialize(Archive& ar)
+    {
+        ar(region, age_ms, upstreams, capacity, running, queued,
+           tokens_per_second);
+    }
+};
+
+/// What rides on probes.
+struct piggyback
+{
+    std::vector<member_update> members;
+    std::vector<upstream_update> upstreams;
+    std::vector<key_digest> withdrawn;
+    std::vector<bucket_renewals> renewals;
+    std::vector<bucket_loads> loads;
+    std::vector<summary_update> summaries;
+
+    template <typename Archive>
+    void serialize(Archive& ar)
+    {
+        ar(members, upstreams, withdrawn, renewals, loads, summaries);
+    }
+};
+
+/// Expects an ack with the same probe number; with probe 0 it only carries
+/// news.
+struct ping
+{
+    std::uint64_t probe = 0;
+    std::string target; ///< Empty for a seed, whose identifier is unknown.
+    member_update self;
+    piggyback news;
+
+    template <typename Archive>
+    void serialize(Archive& ar)
+    {
+        ar(probe, target, self, news);
+    }
+};
+
+struct ack
+{
+    std::uint64_t probe = 0;
+    member_update self;
+    /// In the answer to a ping_request: the VM that answered, else empty.
+    std::vector<member_update> on_behalf;
+    piggyback news;
+
+    template <typename Archive>
+    void serialize(Archive& ar)
+    {
+        ar(probe, self, on_behalf, news);
+    }
+};
+
+struct ping_request
+{
+    std::uint64_t probe = 0;
+    std::string target;
+    std::string target_address;
+    member_update self;
+    /// What the requester believes of the target, so that it can refute.
+    std::vector<member_update> belief;
+
+    template <typename Archive>
+    void serialize(Archive& ar)
+    {
+        ar(probe, target, target_address, self, belief);
+    }
+};
+
+/// One row of a table by hash, to find out which records differ.
+struct table_row
+{
+    std::uint64_t id_hash = 0;
+    std::uint64_t incarnation = 0;
+    std::uint64_t sequence = 0;  ///< Upstreams only.
+    std::uint64_t described = 0; ///< Upstreams only.
+    std::uint8_t state = 0;      ///< vm_state or upstream_state.
+
+    template <typename Archive>
+    void serialize(Archive& ar)
+    {
+        ar(id_hash, incarnation, sequence, described, state);
+    }
+};
+
+enum class sync_stage : std::uint8_t
+{
+    digests, ///< Opens an exchange.
+    rows,    ///< Answer: rows of the buckets that differ.
+    records, ///< What the peer lacks, and which rows this VM wants.
+    last     ///< The records asked for; ends the exchange.
+};
+
+inline constexpr core::enum_table<sync_stage, 4> sync_stage_names{
+    {{sync_stage::digests, "digests"},
+     {sync_stage::rows, "rows"},
+     {sync_stage::records, "records"},
+     {sync_stage::last, "last"}}};
+
+using bucket_digests = std::array<std::uint64_t, bucket_count>;
+
+/// Push-pull exchange of the tables. Two VMs in step exchange only digests.
+struct state_sync
+{
+    sync_stage stage = sync_stage::digests;
+    member_update self;
+    bucket_digests member_digests{};
+    bucket_digests upstream_digests{};
+    std::uint64_t withdrawn_digest = 0;
+    std::uint16_t member_buckets = 0;   ///< Bit set: its rows are included.
+    std::uint16_t upstream_buckets = 0; ///< Likewise.
+    std::vector<table_row> member_rows;
+    std::vector<table_row> upstream_rows;
+    std::vector<std::uint64_t> wanted_members; ///< Hashes of identifiers.
+    std::vector<std::uint64_t> wanted_upstreams;
+    std::vector<member_update> members;
+    std::vector<upstream_update> upstreams;
+    std::vector<key_digest> withdrawn;
+    std::vector<summary_update> summaries;
+
+    template <typename Archive>
+    void serialize(Archive& ar)
+    {
+        ar(stage, self, member_digests, upstream_digests, withdrawn_digest,
+           member_buckets, upstream_buckets, member_rows, upstream_rows,
+           wanted_members, wanted_upstreams, members, upstreams, withdrawn,
+           summaries);
+    }
+};
+
+using message = std::variant<ping, ack, ping_request, state_sync>;
+
+/// Checks what a decoder can't rule out by type: unknown enumerators, empty or
+/// overlong identifiers, more elements than the bounds. A message that isn't
+/// valid must be dropped.
+bool is_valid(const message& it);
+
+std::uint8_t capability_bits(const upstream_capabilities& it);
+upstream_capabilities capabilities_from(std::uint8_t bits);
+
+/// Size in bytes as LibWire encodes it.
+std::size_t encoded_size(const member_update& it);
+std::size_t encoded_size(const upstream_update& it);
+std::size_t encoded_size(const summary_update& it);
+
+} // namespace hyssoploft::membership
+
+#endif
--- /dev/null
+++ b/Libraries/LibMembership/upstream_registry.hpp
@@ -0,0 +1,135 @@
+#ifndef HYSSOPLOFT_LIBMEMBERSHIP_UPSTREAM_REGISTRY_HPP
+#define HYSSOPLOFT_LIBMEMBERSHIP_UPSTREAM_REGISTRY_HPP
+
+// Upstreams and their leases as this VM knows them.
+//
+// 600 upstreams that renew every 2 s are 300 renewals a second, far too many
+// to gossip one by one within 11 KB/s. Live upstreams are therefore kept in
+// buckets in the order of their identifiers, and a VM passes on one byte for
+// each: its newest sequence modulo 255. A receiver whose bucket has the same
+// digest knows which upstream each byte means.
+
+#include <LibCore/time.hpp>
+#include <LibMembership/broadcast_queue.hpp>
+#include <LibMembership/messages.hpp>
+
+#include <absl/status/status.h>
+
+#include <array>
+#include <chrono>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace hyssoploft::membership {
+
+class upstream_registry
+{
+public:
+    static constexpr std::size_t bound = 4096;
+    static constexpr core::duration lease = std::chrono::seconds(6);
+    /// Expired and departed upstreams are remembered so long, so that old
+    /// news doesn't bring them back.
+    static constexpr core::duration tombstone_life = std::chrono::minutes(10);
+    /// A gap of more renewals than this is not taken from one byte.
+    static constexpr std::uint64_t max_renewal_gap = 32;
+
+    explicit upstream_registry(std::string region);
+
+    /// An announcement by the upstream itself. FAILED_PRECONDITION if its
+    /// incarnation has left or a newer one is known, ALREADY_EXISTS if this
+    /// sequence or a newer one is known, RESOURCE_EXHAUSTED if the registry
+    /// is full, INVALID_ARGUMENT on a field that can't be passed on.
+    absl::Status announce(const upstream_record& it, core::time_point now);
+
+    /// Final for this incarnation. NOT_FOUND if the upstream isn't known
+    /// under it.
+    absl::Status leave(
+        const std::string& id, std::uint64_t incarnation, core::time_point now);
+
+    /// NOT_FOUND if the upstream isn't known.
+    absl::Status report_load(
+        const std::string& id, const load_report& load, core::time_point now);
+
+    /// Merges news of a peer. True if the set of upstreams or a description
+    /// changed.
+    bool apply(const upstream_update& it, core::time_point now);
+
+    /// Rows of a peer are news of renewals as well.
+    void renew(const table_row& it, core::time_point now);
+
+    /// Ends leases. True if one ended.
+    bool tick(core::time_point now);
+
+    /// Renewals of one bucket, for a peer.
+    bucket_renewals renewals_of(std::size_t bucket);
+    /// False if the peer's bucket has other upstreams or descriptions.
+    bool apply_renewals(const bucket_renewals& it, core::time_point now);
+
+    /// Loads of this VM's region in one bucket; empty if there are none.
+    bucket_loads loads_of(std::size_t bucket, core::time_point now);
+    /// For peers of the same region only. True if a load is new.
+    bool apply_loads(const bucket_loads& it, core::time_point now);
+
+    /// Upstreams of this VM's region.
+    summary_update own_summary() const;
+
+    bucket_digests digests();
+    void append_rows(std::size_t bucket, std::vector<table_row>& out) const;
+
+    struct entry
+    {
+        upstream_record record;
+        std::uint64_t id_hash = 0;
+        std::uint64_t described = 0;
+        core::time_point lease_until{};
+        core::time_point ended{};    // When the lease ended; valid if so.
+        core::time_point measured{}; // Of the load; zero without one.
+        bool left = false;
+    };
+
+    const entry* find(const std::string& id) const;
+
+    const std::map<std::string, entry>& entries() const
+    {
+        return entries_;
+    }
+
+    upstream_update update_of(const entry& it, bool brief) const;
+
+    /// Rises when an upstream appears, ends, leaves or is described anew.
+    std::uint64_t changes() const
+    {
+        return changes_;
+    }
+
+    broadcast_queue<std::string>& queue()
+    {
+        return queue_;
+    }
+
+private:
+    struct live_bucket
+    {
+        std::vector<entry*> live; // Not expired, in the order of identifiers.
+        std::uint64_t digest = 0;
+        bool stale = true; // The members above must be computed again.
+    };
+
+    entry* add(const std::string& id);
+    live_bucket& fresh_bucket(std::size_t n);
+    void mark_stale(const entry& it);
+    void extend(entry& it, std::uint64_t sequence, core::time_point now);
+    void describe(entry& it, const upstream_update& news);
+
+    const std::string region_;
+    std::map<std::string, entry> entries_; // At most bound.
+    std::array<live_bucket, bucket_count> buckets_;
+    std::uint64_t changes_ = 0;
+    broadcast_queue<std::string> queue_;
+};
+
+} // namespace hyssoploft::membership
+
+#endif
