--- /dev/null
+++ b/Libraries/LibRate/lease_holder.cpp
@@ -0,0 +1,315 @@
+// Floors, leases and demand of one VM.
+
+#include <LibRate/lease_holder.hpp>
+
+#include <algorithm>
+#include <cmath>
+
+namespace hyssoploft::rate {
+
+namespace {
+
+// A rise of demand is followed within two requests; a fall slowly, because a
+// share given up too early has to be earned back without credit.
+constexpr double rise_weight = 0.6;
+constexpr double fall_seconds = 8.0;
+
+// Demand below this part of the floor needs no lease and is not named.
+constexpr double floor_use_without_lease = 0.5;
+
+// Bounds the messages that refusals can cause.
+constexpr core::duration early_request_interval =
+    std::chrono::milliseconds(200);
+
+// Shown to a caller whose request exceeds what this VM can ever hold: the
+// next renewal may bring a larger share.
+constexpr core::duration retry_after_renewal = 2 * renewal_interval;
+
+} // namespace
+
+void lease_holder::advance(account_state& it, core::time_point now) const
+{
+    while (true)
+    {
+        const bool lease_ends = it.leased > 0 && it.lease_end <= now;
+        const bool floor_grows =
+            it.next_floor > it.floor && it.floor_grows_at <= now;
+        if (lease_ends && (!floor_grows || it.lease_end <= it.floor_grows_at))
+        {
+            it.bucket.advance(it.lease_end);
+            it.leased = 0;
+        }
+        else if (floor_grows)
+        {
+            it.bucket.advance(it.floor_grows_at);
+            it.floor = it.next_floor;
+        }
+        else
+        {
+            break;
+        }
+        configure(it);
+    }
+    it.bucket.advance(now);
+}
+
+double lease_holder::configure(account_state& it) const
+{
+    const double share = std::min(1.0, it.floor + it.leased);
+    // The clock may be 1% fast; accrual must not exceed the rate in true time.
+    return it.bucket.configure(
+        share * it.declared.tokens_per_second / clock_drift,
+        share * it.declared.burst_tokens);
+}
+
+void lease_holder::install(const declared_rates& rates, core::time_point now)
+{
+    const std::lock_guard lock(mutex_);
+    if (rates.version < rates_.version)
+    {
+        return;
+    }
+    rates_ = rates;
+    std::erase_if(accounts_, [&](const auto& it) {
+        return !rates.accounts.contains(it.first);
+    });
+    for (const auto& [name, declared] : rates.accounts)
+    {
+        const auto [pos, is_new] = accounts_.try_emplace(name, now);
+        account_state& it = pos->second;
+        advance(it, now);
+        const double floor = rates.floor_share(settings_.vm, declared);
+        it.declared = declared;
+        if (is_new)
+        {
+            it.floor = floor;
+        }
+        else if (floor > it.floor && floor != it.next_floor)
+        {
+            it.floor_grows_at = now + floor_growth_wait;
+        }
+        it.next_floor = floor;
+        it.floor = std::min(it.floor, floor);
+        configure(it);
+    }
+}
+
+void lease_holder::update_demand(account_state& it, double seconds) const
+{
+    const double observed = it.asked / seconds;
+    it.asked = 0;
+    if (observed >= it.demand)
+    {
+        it.demand += rise_weight * (observed - it.demand);
+    }
+    else
+    {
+        const double keep = std::exp(-seconds / fall_seconds);
+        it.demand = observed + keep * (it.demand - observed);
+    }
+}
+
+lease_request lease_holder::start_request(core::time_point now)
+{
+    ++sequence_;
+    sent_[sequence_ % sent_.size()] = {sequence_, now};
+    last_was_early_ = last_request_ && now - *last_request_ < renewal_interval;
+    last_request_ = now;
+    refused_without_lease_ = false;
+    lease_request request;
+    request.vm = settings_.vm;
+    request.incarnation = settings_.incarnation;
+    request.sequence = sequence_;
+    request.applied = applied_;
+    request.term = term_;
+    request.config_version = rates_.version;
+    return request;
+}
+
+lease_request lease_holder::build_request(core::time_point now)
+{
+    const std::lock_guard lock(mutex_);
+    const double seconds =
+        last_request_ ? std::max(1e-3, core::to_seconds(now - *last_request_))
+                      : core::to_seconds(renewal_interval);
+    lease_request request = start_request(now);
+    for (auto& [name, it] : accounts_)
+    {
+        advance(it, now);
+        update_demand(it, seconds);
+        const double floor_rate = it.floor * it.declared.tokens_per_second;
+        const double returned = std::exchange(it.dropped, 0.0);
+        if (name.size() > max_account_name ||
+            (it.demand <= floor_use_without_lease * floor_rate &&
+             returned <= 0))
+        {
+            continue;
+        }
+        // More than the whole rate can't be used; an account that exceeds
+        // its rate must not hide where its other traffic is.
+        const double demand =
+            std::min(it.demand, it.declared.tokens_per_second);
+        request.accounts.push_back(
+            {name, static_cast<float>(demand), static_cast<float>(returned)});
+    }
+    std::size_t bytes = 0;
+    std::stable_sort(
+        request.accounts.begin(), request.accounts.end(),
+        [](const account_demand& a, const account_demand& b) {
+            return a.tokens_per_second > b.tokens_per_second;
+        });
+    const auto end = std::find_if(
+        request.accounts.begin(), request.accounts.end(),
+        [&](const account_demand& it) {
+            bytes += encoded_account_bytes(it.account);
+            return bytes > max_named_bytes;
+        });
+    request.accounts.erase(end, request.accounts.end());
+    return request;
+}
+
+core::time_point lease_holder::next_request_at() const
+{
+    const std::lock_guard lock(mutex_);
+    if (!last_request_)
+    {
+        return core::time_point::min();
+    }
+    const bool early =
+        settings_.ask_early && refused_without_lease_ && !last_was_early_;
+    return *last_request_ + (early ? early_request_interval : renewal_interval);
+}
+
+bool lease_holder::apply(const lease_grant& grant, core::time_point now)
+{
+    const std::lock_guard lock(mutex_);
+    const sent_request& sent = sent_[grant.sequence % sent_.size()];
+    if (grant.incarnation != settings_.incarnation || released_ ||
+        grant.sequence == 0 || sent.sequence != grant.sequence ||
+        grant.sequence <= applied_ || now >= sent.sent + lease_time)
+    {
+        return false;
+    }
+    applied_ = grant.sequence;
+    term_ = grant.term;
+    std::map<std::string_view, const lease_share*> named;
+    for (const auto& it : grant.shares)
+    {
+        named.emplace(it.account, &it);
+    }
+    for (auto& [name, it] : accounts_)
+    {
+        const auto pos = named.find(name);
+        if (pos == named.end() && it.leased <= 0)
+        {
+            continue;
+        }
+        advance(it, now);
+        it.leased = pos == named.end() ? 0.0 : pos->second->share;
+        it.lease_end = sent.sent + lease_time;
+        const double dropped = configure(it);
+        // Only what this grant made the holder drop is returned: the grantor
+        // still counts the larger share until it learns of this grant.
+        it.dropped = settings_.return_credit ? dropped : 0.0;
+        if (pos != named.end())
+        {
+            it.bucket.add(pos->second->credit);
+        }
+    }
+    return true;
+}
+
+lease_request lease_holder::release(core::time_point now)
+{
+    const std::lock_guard lock(mutex_);
+    released_ = true;
+    for (auto& [name, it] : accounts_)
+    {
+        advance(it, now);
+        it.leased = 0;
+        configure(it);
+    }
+    lease_request request = start_request(now);
+    request.release = true;
+    return request;
+}
+
+reserve_result lease_holder::reserve(
+    const std::string& account, double tokens, core::time_point now)
+{
+    const std::lock_guard lock(mutex_);
+    reserve_result result;
+    const auto pos = accounts_.find(account);
+    if (pos == accounts_.end() || !std::isfinite(tokens) || tokens < 0)
+    {
+        result.retry_after = retry_after_renewal;
+        return result;
+    }
+    account_state& it = pos->second;
+    advance(it, now);
+    it.asked += tokens;
+    if (it.bucket.take(tokens))
+    {
+        result.granted = true;
+        result.taken = {account, tokens, it.bucket.epoch()};
+        return result;
+    }
+    refused_without_lease_ = refused_without_lease_ || it.leased <= 0;
+    result.retry_after =
+        std::min(it.bucket.wait_for(tokens), retry_after_renewal);
+    return result;
+}
+
+void lease_holder::settle(
+    const reservation& taken, double used_tokens, core::time_point now)
+{
+    const std::lock_guard lock(mutex_);
+    const auto pos = accounts_.find(taken.account);
+    if (pos == accounts_.end())
+    {
+        return;
+    }
+    account_state& it = pos->second;
+    advance(it, now);
+    const double unused = taken.tokens - std::max(0.0, used_tokens);
+    it.bucket.give_back(taken.epoch, unused);
+    it.asked = std::max(0.0, it.asked - std::max(0.0, unused));
+}
+
+double lease_holder::read(
+    const std::string& account, core::time_point now,
+    double (*value)(const account_state&))
+{
+    const std::lock_guard lock(mutex_);
+    const auto pos = accounts_.find(account);
+    if (pos == accounts_.end())
+    {
+        return 0;
+    }
+    advance(pos->second, now);
+    return value(pos->second);
+}
+
+double lease_holder::credit(const std::string& account, core::time_point now)
+{
+    return read(account, now, [](const account_state& it) {
+        return it.bucket.credit();
+    });
+}
+
+double lease_holder::share(const std::string& account, core::time_point now)
+{
+    return read(account, now, [](const account_state& it) {
+        return std::min(1.0, it.floor + it.leased);
+    });
+}
+
+double
+lease_holder::floor_share(const std::string& account, core::time_point now)
+{
+    return read(account, now, [](const account_state& it) {
+        return it.floor;
+    });
+}
+
+} // namespace hyssoploft::rate
--- /dev/null
+++ b/Libraries/LibRate/token_bucket.hpp
@@ -0,0 +1,86 @@
+#ifndef HYSSOPLOFT_LIBRATE_TOKEN_BUCKET_HPP
+#define HYSSOPLOFT_LIBRATE_TOKEN_BUCKET_HPP
+
+// Credit of one account at one VM, in tokens. Starts empty.
+//
+// What a reservation gives back is limited so that the bucket ends as if only
+// the used tokens had been taken. Giving back everything up to the cap would
+// let several long reservations, settled together, exceed the burst.
+
+#include <LibCore/time.hpp>
+
+#include <cstdint>
+#include <deque>
+
+namespace hyssoploft::rate {
+
+class token_bucket
+{
+public:
+    explicit token_bucket(core::time_point now) : updated_(now) {}
+
+    /// Accrues up to `now`. An earlier time changes nothing.
+    void advance(core::time_point now);
+
+    /// Changes accrual and cap from the last advance() on. Returns the credit
+    /// above the new cap, which is dropped.
+    double configure(double tokens_per_second, double cap);
+
+    /// Adds credit that was taken from another bucket, up to the cap.
+    void add(double tokens);
+
+    /// Takes `tokens`, all or nothing. Negative and non-finite amounts are
+    /// refused.
+    bool take(double tokens);
+
+    /// Number of the last take(), for give_back().
+    std::uint64_t epoch() const
+    {
+        return epoch_;
+    }
+
+    /// Gives back unused tokens of the take() with this number. Returns what
+    /// was given back.
+    double give_back(std::uint64_t epoch, double tokens);
+
+    /// Time until `tokens` are there; duration::max() if the cap is lower.
+    core::duration wait_for(double tokens) const;
+
+    double credit() const
+    {
+        return credit_;
+    }
+
+    double cap() const
+    {
+        return cap_;
+    }
+
+    double tokens_per_second() const
+    {
+        return tokens_per_second_;
+    }
+
+private:
+    struct headroom_mark
+    {
+        std::uint64_t epoch;
+        double headroom;
+    };
+
+    void note_headroom();
+
+    core::time_point updated_;
+    double tokens_per_second_ = 0;
+    double cap_ = 0;
+    double credit_ = 0; // Between 0 and cap_.
+    std::uint64_t epoch_ = 0;
+
+    // Lowest distance between credit and cap since each take(); epochs and
+    // headrooms both increase from front to back.
+    std::deque<headroom_mark> marks_;
+};
+
+} // namespace hyssoploft::rate
+
+#endif
