--- /dev/null
+++ b/Libraries/LibRetry/budgeted_retry_policy.hpp
@@ -0,0 +1,65 @@
+#ifndef HYSSOPLOFT_LIBRETRY_BUDGETED_RETRY_POLICY_HPP
+#define HYSSOPLOFT_LIBRETRY_BUDGETED_RETRY_POLICY_HPP
+
+// Retries within a budget that is a share of recent requests, so that a
+// failing fleet is not loaded with a multiple of its traffic.
+
+#include <LibCore/random_source.hpp>
+#include <LibRetry/retry_policy.hpp>
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+
+namespace hyssoploft::retry {
+
+struct retry_settings
+{
+    /// Retries for each recent first attempt (section 5.8 of the design).
+    double budget_share = 0.1;
+    /// Retries for each window that need no traffic. Without it a VM with
+    /// few calls could not retry at all.
+    std::uint32_t budget_constant = 3;
+    core::duration window = std::chrono::seconds(10);
+    std::uint32_t max_attempts = 3; ///< Including the first.
+    core::duration backoff_base = std::chrono::milliseconds(25);
+    core::duration backoff_cap = std::chrono::seconds(1);
+};
+
+/// Not thread safe; the gateway serializes the calls.
+class budgeted_retry_policy final : public retry_policy
+{
+public:
+    /// `random` must outlive the policy.
+    budgeted_retry_policy(
+        const retry_settings& settings, core::random_source& random);
+
+    void on_request(core::time_point now) override;
+
+    /// An allowed retry is charged to the budget at once.
+    retry_decision
+    decide(const failed_call& call, core::time_point now) override;
+
+private:
+    struct bucket
+    {
+        std::int64_t slice = -1; // Number of the slice of time it counts.
+        std::uint64_t requests = 0;
+        std::uint64_t retries = 0;
+    };
+
+    static constexpr std::size_t bucket_count = 10;
+
+    bucket& current(core::time_point now);
+    bool budget_left(core::time_point now) const;
+    std::int64_t slice_of(core::time_point now) const;
+    core::duration backoff(std::uint32_t attempts);
+
+    retry_settings settings_;
+    core::random_source& random_;
+    std::array<bucket, bucket_count> buckets_{}; // Ring over the window.
+};
+
+} // namespace hyssoploft::retry
+
+#endif
