--- /dev/null
+++ b/Libraries/LibRouting/expected_time_router.cpp
@@ -0,0 +1,469 @@
+// Choice by expected time to first token.
+
+#include <LibRouting/expected_time_router.hpp>
+
+#include <LibCore/text.hpp>
+#include <LibRouting/candidate_filter.hpp>
+
+#include <algorithm>
+
+namespace hyssoploft::routing {
+namespace {
+
+// Keys that matching_ may hold; roles, models and adapters in use are fewer.
+constexpr std::size_t max_matching = 1024;
+
+std::uint64_t prompt_hash(const routing_request& request)
+{
+    return request.prefix_hashes.empty() ? 0 : request.prefix_hashes.back();
+}
+
+route_option* best_of(std::vector<route_option>& options, bool local)
+{
+    route_option* best = nullptr;
+    for (route_option& it : options)
+    {
+        if (it.local == local &&
+            (best == nullptr || it.seconds < best->seconds))
+        {
+            best = &it;
+        }
+    }
+    return best;
+}
+
+} // namespace
+
+expected_time_router::expected_time_router(
+    const expected_time_settings& settings, core::random_source& random)
+    : settings_(settings), random_(random), times_(settings.costs),
+      prefixes_(settings.prefix), ejector_(settings.ejector),
+      links_(settings.link)
+{}
+
+void expected_time_router::update(
+    std::shared_ptr<const membership::fleet_view> fleet,
+    std::shared_ptr<const resource::configuration> configuration,
+    core::time_point now)
+{
+    // What the first view lists has been running before this VM started.
+    const bool first = fleet_ == nullptr;
+    fleet_ = std::move(fleet);
+    here_ = own_region(*fleet_);
+    const auto self = fleet_->vms.find(fleet_->self);
+    data_center_ =
+        self == fleet_->vms.end() ? std::string() : self->second.data_center;
+    sharers_ = std::max<double>(
+        1, std::count_if(
+               fleet_->vms.begin(), fleet_->vms.end(), [](const auto& it) {
+                   return it.second.state == membership::vm_state::alive;
+               }));
+    links_.update(*fleet_, *configuration);
+    matching_.clear();
+    for (auto& [id, it] : slots_)
+    {
+        it->listed = false;
+    }
+    for (const auto& [id, record] : fleet_->upstreams)
+    {
+        auto& it = slots_[id];
+        if (it == nullptr)
+        {
+            it = std::make_unique<upstream_slot>(
+                settings_.load, settings_.ramp, next_number_++);
+            it->record = record;
+            if (!first)
+            {
+                it->ramp.begin(now);
+            }
+        }
+        refresh(*it, record, now);
+    }
+    for (auto it = slots_.begin(); it != slots_.end();)
+    {
+        upstream_slot& s = *it->second;
+        s.health->serving =
+            s.listed && s.record.state == membership::upstream_state::serving;
+        // Own calls there still have to end.
+        if (s.listed || s.load.own_in_flight() > 0)
+        {
+            ++it;
+            continue;
+        }
+        prefixes_.drop(s.number);
+        ejector_.remove(it->first);
+        it = slots_.erase(it);
+    }
+}
+
+void expected_time_router::refresh(
+    upstream_slot& it, const membership::upstream_record& record,
+    core::time_point now)
+{
+    const bool restarted =
+        it.record.incarnation != record.incarnation ||
+        (it.record.state == membership::upstream_state::expired &&
+         record.state == membership::upstream_state::serving);
+    it.listed = true;
+    it.record = record;
+    it.health =
+        &ejector_.add(record.id, core::concat(record.role, "/", record.region));
+    if (restarted)
+    {
+        prefixes_.forget(it.number);
+        it.ramp.begin(now);
+    }
+    if (it.load.report(record.load))
+    {
+        ejector_.report_checked(*it.health, it.load.understated(), now);
+    }
+    // Reports are set aside before they are bad enough for an ejection.
+    it.load.distrust(
+        it.health->understated_share >= settings_.ejector.misreport_rate / 2,
+        sharers_);
+}
+
+const std::vector<upstream_slot*>&
+expected_time_router::serving(const routing_request& request)
+{
+    const std::string key =
+        core::concat(request.role, "\n", request.model, "\n", request.adapter);
+    const auto known = matching_.find(key);
+    if (known != matching_.end())
+    {
+        return known->second;
+    }
+    if (matching_.size() >= max_matching)
+    {
+        matching_.clear();
+    }
+    std::vector<upstream_slot*>& list = matching_[key];
+    for (const auto& [id, it] : slots_)
+    {
+        if (it->listed &&
+            it->record.state == membership::upstream_state::serving &&
+            serves(it->record, request))
+        {
+            list.push_back(it.get());
+        }
+    }
+    return list;
+}
+
+routing_result expected_time_router::choose(
+    const routing_request& request, core::time_point now)
+{
+    routing_result result;
+    if (fleet_ == nullptr)
+    {
+        return result;
+    }
+    std::vector<route_option> options =
+        open_options(request, result.refusal, now);
+    // One upstream in its probing state gets this call, alone.
+    if (const route_option* it = probe_due(options, now); it != nullptr)
+    {
+        return commit(*it, request, routing_reason::probe, now);
+    }
+    std::erase_if(options, [&](const route_option& it) {
+        return ejector_.state(*it.upstream->health, now) !=
+               health_state::healthy;
+    });
+    if (options.empty())
+    {
+        return result;
+    }
+    drop_unaffordable(options, cost_of(request), now);
+    if (options.empty())
+    {
+        result.refusal = no_route_reason::link_budget_exhausted;
+        return result;
+    }
+    const bool only = options.size() == 1;
+    apply_affinity(options, request, now);
+    hold_ramping(options, now);
+    const route_option* local = best_of(options, true);
+    const route_option* remote = best_of(options, false);
+    const bool gain = remote != nullptr &&
+                      (local == nullptr || local->seconds - remote->seconds >
+                                               request.remote_price_seconds);
+    const route_option& it = *spread(options, gain ? *remote : *local);
+    routing_reason reason = routing_reason::shortest_expected_time;
+    if (only)
+    {
+        reason = routing_reason::only_candidate;
+    }
+    else if (gain)
+    {
+        reason = routing_reason::remote_gain;
+    }
+    else if (it.seconds < it.without_cache)
+    {
+        reason = routing_reason::prefix_affinity;
+    }
+    return commit(it, request, reason, now);
+}
+
+std::vector<route_option> expected_time_router::open_options(
+    const routing_request& request, no_route_reason& refusal,
+    core::time_point now)
+{
+    std::vector<route_option> options;
+    const std::vector<upstream_slot*>& all = serving(request);
+    options.reserve(all.size());
+    refusal = all.empty() ? no_route_reason::no_upstream
+                          : no_route_reason::residency_forbids;
+    for (upstream_slot* it : all)
+    {
+        const std::string& region = it->record.region;
+        if (!region_allowed(region, request, here_))
+        {
+            continue;
+        }
+        refusal = no_route_reason::all_ejected_or_full;
+        route_option o;
+        o.upstream = it;
+        o.local = region == here_;
+        o.calls = it->load.calls(now);
+        if (now >= it->paused_until &&
+            o.calls < settings_.full_factor * it->capacity() &&
+            !request.excluded.contains(it->record.id))
+        {
+            times_.estimate(o, request.prompt_tokens, 0, data_center_, now);
+            options.push_back(o);
+        }
+    }
+    return options;
+}
+
+void expected_time_router::drop_unaffordable(
+    std::vector<route_option>& options, const link_cost& cost,
+    core::time_point now)
+{
+    std::map<std::string, bool> affordable; // By region.
+    std::erase_if(options, [&](const route_option& it) {
+        if (it.local)
+        {
+            return false;
+        }
+        const std::string& region = it.upstream->record.region;
+        auto known = affordable.find(region);
+        if (known == affordable.end())
+        {
+            known =
+                affordable.emplace(region, links_.affords(region, cost, now))
+                    .first;
+        }
+        return !known->second;
+    });
+}
+
+void expected_time_router::apply_affinity(
+    std::vector<route_option>& options, const routing_request& request,
+    core::time_point now) const
+{
+    if (request.prefix_hashes.empty())
+    {
+        return;
+    }
+    double calls = 0;
+    double capacity = 0;
+    for (const route_option& it : options)
+    {
+        calls += it.calls;
+        capacity += it.upstream->capacity();
+    }
+    for (const prefix_match& m : prefixes_.match(request.prefix_hashes, now))
+    {
+        const auto it = std::find_if(
+            options.begin(), options.end(), [&](const route_option& o) {
+                return o.upstream->number == m.upstream;
+            });
+        if (it == options.end())
+        {
+            continue;
+        }
+        // Above the bound a cached prefix does not count, so that one hot
+        // prefix does not overload the upstream that holds it.
+        const double bound = settings_.affinity_load_bound * calls / capacity *
+                                 it->upstream->capacity() +
+                             1;
+        if (it->calls <= bound)
+        {
+            const double cached = std::min<double>(
+                request.prompt_tokens,
+                static_cast<double>(m.blocks) * prefix_block_tokens);
+            times_.estimate(
+                *it, request.prompt_tokens, cached * m.belief, data_center_,
+                now);
+        }
+    }
+}
+
+route_option* expected_time_router::probe_due(
+    std::vector<route_option>& options, core::time_point now)
+{
+    for (route_option& it : options)
+    {
+        upstream_health& health = *it.upstream->health;
+        // Probes never cross regions: they would spend the link's budget on
+        // an upstream that its own region's VMs probe as well.
+        if (it.local && ejector_.state(health, now) == health_state::probing &&
+            !health.probe_running)
+        {
+            return &it;
+        }
+    }
+    return nullptr;
+}
+
+void expected_time_router::hold_ramping(
+    std::vector<route_option>& options, core::time_point now)
+{
+    // Each ramping upstream takes part in its share of the decisions.
+    const auto middle = std::stable_partition(
+        options.begin(), options.end(), [&](const route_option& it) {
+            const double share = it.upstream->ramp.share(now);
+            return share >= 1 || random_.uniform() < share;
+        });
+    if (middle != options.begin())
+    {
+        options.erase(middle, options.end());
+    }
+}
+
+route_option* expected_time_router::spread(
+    std::vector<route_option>& options, const route_option& best)
+{
+    const double slack =
+        std::max(settings_.near_seconds, settings_.near_share * best.seconds);
+    std::vector<route_option*> near;
+    for (route_option& it : options)
+    {
+        if (it.local == best.local && it.seconds <= best.seconds + slack)
+        {
+            near.push_back(&it);
+        }
+    }
+    if (near.size() == 1)
+    {
+        return near.front();
+    }
+    const std::size_t a = random_.below(near.size());
+    const std::size_t b =
+        (a + 1 + random_.below(near.size() - 1)) % near.size();
+    return near[a]->seconds <= near[b]->seconds ? near[a] : near[b];
+}
+
+routing_result expected_time_router::commit(
+    const route_option& it, const routing_request& request,
+    routing_reason reason, core::time_point now)
+{
+    upstream_slot& s = *it.upstream;
+    own_call call;
+    call.start = now;
+    call.prompt_tokens = request.prompt_tokens;
+    call.prompt_hash = prompt_hash(request);
+    call.work_tokens = it.work_tokens;
+    call.uncached_tokens = it.uncached_tokens;
+    call.wait_seconds = it.network + it.wait;
+    call.first_token = core::from_seconds(it.seconds);
+    call.probe = reason == routing_reason::probe;
+    call.remote = !it.local;
+    if (call.remote)
+    {
+        call.bytes = cost_of(request);
+        links_.charge(s.record.region, call.bytes, now);
+    }
+    if (call.probe)
+    {
+        ejector_.probe_started(*s.health);
+    }
+    s.load.started(call);
+    prefixes_.record(s.number, request.prefix_hashes, now);
+    routing_result result;
+    result.chosen = true;
+    result.decision = {s.record.id, s.record.region, reason, call.first_token};
+    return result;
+}
+
+void expected_time_router::finished(
+    const std::string& upstream, const routing_request& request,
+    const call_result& result, core::time_point now)
+{
+    const auto found = slots_.find(upstream);
+    if (found == slots_.end())
+    {
+        return;
+    }
+    upstream_slot& s = *found->second;
+    const auto call = s.load.finished(
+        request.prompt_tokens, prompt_hash(request), result.total, now);
+    if (!call)
+    {
+        return;
+    }
+    if (call->remote)
+    {
+        links_.settle(s.record.region, call->bytes, result.bytes, now);
+    }
+    if (result.outcome == call_outcome::rejected_full)
+    {
+        s.paused_until = now + settings_.rejected_pause;
+    }
+    const expected_time::lesson learned = times_.learn(s, *call, result);
+    const bool failed = result.outcome == call_outcome::failed;
+    const bool conclusive = failed || result.outcome == call_outcome::completed;
+    if (!call->probe)
+    {
+        if (conclusive)
+        {
+            ejector_.call_ended(
+                *s.health, failed, learned.timed, learned.slowness, now);
+        }
+        return;
+    }
+    if (!conclusive)
+    {
+        ejector_.probe_void(*s.health);
+    }
+    else if (ejector_.probe_ended(*s.health, failed, learned.slowness, now))
+    {
+        s.ramp.begin(now);
+    }
+}
+
+void expected_time_router::cache_event(
+    const std::string& upstream, std::uint64_t sequence,
+    const std::vector<std::uint64_t>& stored,
+    const std::vector<std::uint64_t>& evicted, core::time_point now)
+{
+    const auto it = slots_.find(upstream);
+    if (it != slots_.end())
+    {
+        prefixes_.event(it->second->number, sequence, stored, evicted, now);
+    }
+}
+
+link_cost expected_time_router::cost_of(const routing_request& request) const
+{
+    return {
+        request.prompt_tokens * settings_.request_bytes_per_token,
+        request.answer_limit * settings_.answer_bytes_per_token};
+}
+
+upstream_belief expected_time_router::belief(
+    const std::string& upstream, core::time_point now) const
+{
+    const auto it = slots_.find(upstream);
+    if (it == slots_.end())
+    {
+        return {};
+    }
+    const upstream_slot& s = *it->second;
+    return {s.load.calls(now), s.load.own_in_flight(),
+            times_.rates(s),   ejector_.state(*s.health, now),
+            s.health->cause,   s.ramp.share(now)};
+}
+
+} // namespace hyssoploft::routing
--- /dev/null
+++ b/Libraries/LibRouting/expected_time_router.hpp
@@ -0,0 +1,130 @@
+#ifndef HYSSOPLOFT_LIBROUTING_EXPECTED_TIME_ROUTER_HPP
+#define HYSSOPLOFT_LIBROUTING_EXPECTED_TIME_ROUTER_HPP
+
+// Chooses the upstream with the shortest expected time to first token. It
+// combines the small classes of this library; each of them has one input.
+
+#include <LibCore/random_source.hpp>
+#include <LibRouting/expected_time.hpp>
+#include <LibRouting/link_budget.hpp>
+#include <LibRouting/outlier_ejector.hpp>
+#include <LibRouting/prefix_index.hpp>
+#include <LibRouting/router.hpp>
+#include <LibRouting/upstream_slot.hpp>
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace hyssoploft::routing {
+
+struct expected_time_settings
+{
+    load_settings load;
+    prefix_settings prefix;
+    ejector_settings ejector;
+    ramp_settings ramp;
+    link_settings link;
+    expected_time_costs costs;
+    /// Candidates within this part of the best time, or within the absolute
+    /// slack, count as equal; two random ones of them are compared.
+    double near_share = 0.25;
+    double near_seconds = 0.01;
+    /// An upstream with more estimated calls than this multiple of its
+    /// capacity is full.
+    double full_factor = 3.0;
+    /// Cached prefixes count only at upstreams whose load is at most this
+    /// multiple of the mean of the candidates, plus one call.
+    double affinity_load_bound = 1.25;
+    /// No new call after the upstream refused one for load.
+    core::duration rejected_pause = std::chrono::milliseconds(500);
+    double request_bytes_per_token = 5;
+    double answer_bytes_per_token = 180; ///< One event for each token.
+};
+
+/// What the router believes of one upstream, for status pages and tests.
+struct upstream_belief
+{
+    double calls = 0;
+    std::uint32_t own_in_flight = 0;
+    service_rates rates;
+    health_state health = health_state::healthy;
+    ejection_cause cause = ejection_cause::none;
+    double ramp_share = 1;
+};
+
+class expected_time_router final : public router
+{
+public:
+    /// `random` must outlive the router.
+    expected_time_router(
+        const expected_time_settings& settings, core::random_source& random);
+
+    void update(
+        std::shared_ptr<const membership::fleet_view> fleet,
+        std::shared_ptr<const resource::configuration> configuration,
+        core::time_point now) override;
+
+    routing_result
+    choose(const routing_request& request, core::time_point now) override;
+
+    void finished(
+        const std::string& upstream, const routing_request& request,
+        const call_result& result, core::time_point now) override;
+
+    void cache_event(
+        const std::string& upstream, std::uint64_t sequence,
+        const std::vector<std::uint64_t>& stored,
+        const std::vector<std::uint64_t>& evicted,
+        core::time_point now) override;
+
+    /// Nothing is known of an upstream that no view listed: all defaults.
+    upstream_belief
+    belief(const std::string& upstream, core::time_point now) const;
+
+private:
+    void refresh(
+        upstream_slot& it, const membership::upstream_record& record,
+        core::time_point now);
+    const std::vector<upstream_slot*>& serving(const routing_request& request);
+    std::vector<route_option> open_options(
+        const routing_request& request, no_route_reason& refusal,
+        core::time_point now);
+    void drop_unaffordable(
+        std::vector<route_option>& options, const link_cost& cost,
+        core::time_point now);
+    void apply_affinity(
+        std::vector<route_option>& options, const routing_request& request,
+        core::time_point now) const;
+    route_option*
+    probe_due(std::vector<route_option>& options, core::time_point now);
+    void hold_ramping(std::vector<route_option>& options, core::time_point now);
+    route_option*
+    spread(std::vector<route_option>& options, const route_option& best);
+    routing_result commit(
+        const route_option& it, const routing_request& request,
+        routing_reason reason, core::time_point now);
+    link_cost cost_of(const routing_request& request) const;
+
+    expected_time_settings settings_;
+    core::random_source& random_;
+    std::shared_ptr<const membership::fleet_view> fleet_;
+    std::string here_;              // This VM's region.
+    std::string data_center_;       // This VM's data centre.
+    double sharers_ = 1;            // VMs that are alive, this one included.
+    std::uint32_t next_number_ = 0; // Numbers for prefix_index; not reused.
+    std::map<std::string, std::unique_ptr<upstream_slot>> slots_;
+    // Serving upstreams by role, model and adapter; cleared by update().
+    std::unordered_map<std::string, std::vector<upstream_slot*>> matching_;
+    expected_time times_;
+    prefix_index prefixes_;
+    outlier_ejector ejector_;
+    link_budget links_;
+};
+
+} // namespace hyssoploft::routing
+
+#endif
--- /dev/null
+++ b/Libraries/LibRouting/forwarding.cpp
@@ -0,0 +1,73 @@
+// Choice of a VM in another region.
+
+#include <LibRouting/forwarding.hpp>
+
+#include <LibRouting/candidate_filter.hpp>
+
+#include <vector>
+
+namespace hyssoploft::routing {
+
+forwarding_result choose_forwarding_vm(
+    const membership::fleet_view& fleet, const forwarding_request& request,
+    core::random_source& random)
+{
+    if (request.hop_count >= hop_limit)
+    {
+        return {"", forwarding_reason::hop_limit_reached};
+    }
+    if (request.region == own_region(fleet))
+    {
+        return {"", forwarding_reason::own_region};
+    }
+    std::vector<const membership::vm_record*> near;
+    std::vector<const membership::vm_record*> others;
+    bool any_alive = false;
+    bool any_new = false;
+    for (const auto& [id, it] : fleet.vms)
+    {
+        if (it.region != request.region || id == fleet.self ||
+            it.state != membership::vm_state::alive)
+        {
+            continue;
+        }
+        any_alive = true;
+        if (request.visited.contains(id))
+        {
+            continue;
+        }
+        any_new = true;
+        if (it.overloaded)
+        {
+            continue;
+        }
+        const bool is_near = !request.data_center.empty() &&
+                             it.data_center == request.data_center;
+        (is_near ? near : others).push_back(&it);
+    }
+    if (!near.empty())
+    {
+        return {
+            near[random.below(near.size())]->id,
+            forwarding_reason::same_data_center};
+    }
+    if (!others.empty())
+    {
+        return {
+            others[random.below(others.size())]->id,
+            forwarding_reason::same_region};
+    }
+    return {
+        "", any_new     ? forwarding_reason::all_overloaded
+            : any_alive ? forwarding_reason::all_visited
+                        : forwarding_reason::no_vm};
+}
+
+bool accepts_forwarded(
+    const std::string& self, std::uint32_t hop_count,
+    const std::set<std::string>& visited)
+{
+    return hop_count <= hop_limit && !visited.contains(self);
+}
+
+} // namespace hyssoploft::routing
--- /dev/null
+++ b/Libraries/LibRouting/forwarding.hpp
@@ -0,0 +1,67 @@
+#ifndef HYSSOPLOFT_LIBROUTING_FORWARDING_HPP
+#define HYSSOPLOFT_LIBROUTING_FORWARDING_HPP
+
+// Choice of the VM that carries a call into another region (section 5.9).
+
+#include <LibCore/enum_table.hpp>
+#include <LibCore/random_source.hpp>
+#include <LibMembership/fleet_view.hpp>
+
+#include <cstdint>
+#include <set>
+#include <string>
+
+namespace hyssoploft::routing {
+
+/// VMs that one call may pass: its entry VM and one more.
+inline constexpr std::uint32_t hop_limit = 2;
+
+enum class forwarding_reason : std::uint8_t
+{
+    same_data_center, ///< Chosen: in the upstream's data centre.
+    same_region,      ///< Chosen: in the upstream's region.
+    hop_limit_reached,
+    own_region,  ///< Upstreams of the own region are called directly.
+    no_vm,       ///< No VM of that region is alive.
+    all_visited, ///< The live ones have had this call.
+    all_overloaded
+};
+
+inline constexpr core::enum_table<forwarding_reason, 7> forwarding_reason_names{
+    {{forwarding_reason::same_data_center, "same_data_center"},
+     {forwarding_reason::same_region, "same_region"},
+     {forwarding_reason::hop_limit_reached, "hop_limit_reached"},
+     {forwarding_reason::own_region, "own_region"},
+     {forwarding_reason::no_vm, "no_vm"},
+     {forwarding_reason::all_visited, "all_visited"},
+     {forwarding_reason::all_overloaded, "all_overloaded"}}};
+
+struct forwarding_request
+{
+    std::string region;
+    std::string data_center; ///< Preferred; empty: any.
+    /// VMs that the call has passed, this one included: 1 at the entry VM.
+    std::uint32_t hop_count = 1;
+    std::set<std::string> visited;
+};
+
+struct forwarding_result
+{
+    std::string vm; ///< Empty: the call can't be forwarded; it did not run.
+    forwarding_reason reason = forwarding_reason::no_vm;
+};
+
+/// A random one of the VMs that are alive, not overloaded and not visited.
+forwarding_result choose_forwarding_vm(
+    const membership::fleet_view& fleet, const forwarding_request& request,
+    core::random_source& random);
+
+/// Whether the receiver of a forwarded call may take it. `hop_count` includes
+/// the receiver, `visited` must not.
+bool accepts_forwarded(
+    const std::string& self, std::uint32_t hop_count,
+    const std::set<std::string>& visited);
+
+} // namespace hyssoploft::routing
+
+#endif
--- /dev/null
+++ b/Libraries/LibRouting/outlier_ejector.cpp
@@ -0,0 +1,234 @@
+// Ejection of outliers and readmission by probing.
+
+#include <LibRouting/outlier_ejector.hpp>
+
+#include <algorithm>
+#include <cmath>
+
+namespace hyssoploft::routing {
+namespace {
+
+// Weight of the newest sample in the decayed shares.
+constexpr double gain = 0.1;
+
+// One extreme call must not decide the mean of the logarithms.
+constexpr double slowness_bound = 3.0;
+
+void blend(double& mean, double sample)
+{
+    mean += gain * (sample - mean);
+}
+
+} // namespace
+
+upstream_health&
+outlier_ejector::add(const std::string& id, const std::string& group)
+{
+    const auto [it, fresh] = upstreams_.try_emplace(id);
+    if (!fresh && it->second.group != group)
+    {
+        std::erase(groups_[it->second.group], &it->second);
+    }
+    if (fresh || it->second.group != group)
+    {
+        it->second.group = group;
+        groups_[group].push_back(&it->second);
+    }
+    return it->second;
+}
+
+void outlier_ejector::remove(const std::string& id)
+{
+    const auto it = upstreams_.find(id);
+    if (it == upstreams_.end())
+    {
+        return;
+    }
+    const auto members = groups_.find(it->second.group);
+    std::erase(members->second, &it->second);
+    if (members->second.empty())
+    {
+        groups_.erase(members);
+    }
+    upstreams_.erase(it);
+}
+
+void outlier_ejector::call_ended(
+    upstream_health& it, bool failed, bool timed, double slowness,
+    core::time_point now)
+{
+    ++it.calls;
+    it.failures_in_row = failed ? it.failures_in_row + 1 : 0;
+    blend(it.failed_share, failed ? 1.0 : 0.0);
+    if (timed)
+    {
+        ++it.timed_calls;
+        blend(
+            it.slowness, std::clamp(slowness, -slowness_bound, slowness_bound));
+    }
+    if (it.state != health_state::healthy)
+    {
+        return;
+    }
+    if (it.failures_in_row >= settings_.consecutive_failures)
+    {
+        eject(it, ejection_cause::consecutive_failures, now);
+    }
+    else if (
+        it.calls >= settings_.error_rate_calls &&
+        it.failed_share >= settings_.error_rate)
+    {
+        eject(it, ejection_cause::error_rate, now);
+    }
+    else if (
+        timed && it.timed_calls >= settings_.slow_calls &&
+        is_slow(it, it.slowness))
+    {
+        eject(it, ejection_cause::slow, now);
+    }
+}
+
+void outlier_ejector::report_checked(
+    upstream_health& it, bool understated, core::time_point now)
+{
+    ++it.reports;
+    blend(it.understated_share, understated ? 1.0 : 0.0);
+    if (it.state == health_state::healthy &&
+        it.reports >= settings_.misreport_reports &&
+        it.understated_share >= settings_.misreport_rate)
+    {
+        eject(it, ejection_cause::misreporting, now);
+    }
+}
+
+health_state
+outlier_ejector::state(upstream_health& it, core::time_point now) const
+{
+    if (it.state == health_state::ejected && now >= it.until)
+    {
+        it.state = health_state::probing;
+        it.probe_running = false;
+        it.probes_passed = 0;
+    }
+    return it.state;
+}
+
+void outlier_ejector::probe_started(upstream_health& it)
+{
+    it.probe_running = true;
+}
+
+bool outlier_ejector::probe_ended(
+    upstream_health& it, bool failed, double slowness, core::time_point now)
+{
+    it.probe_running = false;
+    if (it.state != health_state::probing)
+    {
+        return false;
+    }
+    if (failed || is_slow(it, slowness))
+    {
+        restart(it, now);
+        return false;
+    }
+    if (++it.probes_passed < settings_.probes_to_return)
+    {
+        return false;
+    }
+    it.state = health_state::healthy;
+    it.calls = 0;
+    it.timed_calls = 0;
+    it.reports = 0;
+    it.failures_in_row = 0;
+    it.failed_share = 0;
+    it.slowness = 0;
+    it.understated_share = 0;
+    return true;
+}
+
+void outlier_ejector::probe_void(upstream_health& it)
+{
+    it.probe_running = false;
+}
+
+std::uint32_t outlier_ejector::out(const std::string& group) const
+{
+    const auto it = groups_.find(group);
+    if (it == groups_.end())
+    {
+        return 0;
+    }
+    return static_cast<std::uint32_t>(
+        std::count_if(it->second.begin(), it->second.end(), [](const auto* h) {
+            return h->serving && h->state != health_state::healthy;
+        }));
+}
+
+bool outlier_ejector::has_room(const std::string& group) const
+{
+    const auto& members = groups_.at(group);
+    const auto size = static_cast<double>(
+        std::count_if(members.begin(), members.end(), [](const auto* it) {
+            return it->serving;
+        }));
+    return out(group) + 1 <= std::floor(size * settings_.max_share);
+}
+
+void outlier_ejector::eject(
+    upstream_health& it, ejection_cause cause, core::time_point now)
+{
+    if (!has_room(it.group))
+    {
+        return;
+    }
+    it.cause = cause;
+    // An upstream that has worked for a while starts with the short time.
+    constexpr int calm = 10;
+    if (now - it.until > settings_.longest_time * calm)
+    {
+        it.ejections = 0;
+    }
+    restart(it, now);
+}
+
+void outlier_ejector::restart(upstream_health& it, core::time_point now)
+{
+    core::duration time = settings_.first_time;
+    for (std::uint32_t i = 0; i < it.ejections && time < settings_.longest_time;
+         ++i)
+    {
+        time *= 2;
+    }
+    ++it.ejections;
+    it.state = health_state::ejected;
+    it.until = now + std::min(time, settings_.longest_time);
+}
+
+bool outlier_ejector::is_slow(const upstream_health& it, double slowness) const
+{
+    return slowness - median_slowness(it.group) >
+           std::log(settings_.slow_factor);
+}
+
+double outlier_ejector::median_slowness(const std::string& group) const
+{
+    std::vector<double> values;
+    for (const upstream_health* it : groups_.at(group))
+    {
+        if (it->serving && it->timed_calls >= settings_.slow_calls)
+        {
+            values.push_back(it->slowness);
+        }
+    }
+    // The median of one or two is not evidence against either of them.
+    if (values.size() < 3)
+    {
+        return 0;
+    }
+    const auto middle =
+        values.begin() + static_cast<std::ptrdiff_t>(values.size() / 2);
+    std::nth_element(values.begin(), middle, values.end());
+    return *middle;
+}
+
+} // namespace hyssoploft::routing
