--- /dev/null
+++ b/Tests/LibRetry/budgeted_retry_policy.cpp
@@ -0,0 +1,166 @@
+// Guards against retries of calls that may have run, retries past the
+// deadline, and retry storms.
+
+#include <LibRetry/budgeted_retry_policy.hpp>
+
+#include <Support/seeded_property.hpp>
+
+#include <doctest.h>
+
+#include <deque>
+#include <set>
+
+using namespace hyssoploft;
+using namespace hyssoploft::retry;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr core::time_point start{1000s};
+
+failed_call call_with(run_state state, bool idempotent)
+{
+    failed_call it;
+    it.state = state;
+    it.idempotent = idempotent;
+    it.deadline = start + 60s;
+    return it;
+}
+
+} // namespace
+
+TEST_CASE("each condition refuses with its own reason")
+{
+    struct row
+    {
+        const char* name;
+        failed_call call;
+        retry_reason want;
+    };
+    failed_call started = call_with(run_state::may_have_run, true);
+    started.answer_started = true;
+    failed_call many = call_with(run_state::not_run, true);
+    many.attempts = 3;
+    failed_call late = call_with(run_state::not_run, true);
+    late.deadline = start + 10ms;
+    failed_call too_long = call_with(run_state::not_run, true);
+    too_long.deadline = start + 2s;
+    too_long.expected_run = 3s;
+    const row rows[] = {
+        {"not run", call_with(run_state::not_run, false),
+         retry_reason::allowed},
+        {"may have run, idempotent", call_with(run_state::may_have_run, true),
+         retry_reason::allowed},
+        {"may have run, not idempotent",
+         call_with(run_state::may_have_run, false), retry_reason::may_have_run},
+        {"the caller has part of the answer", started,
+         retry_reason::answer_started},
+        {"third attempt", many, retry_reason::too_many_attempts},
+        {"deadline within the backoff", late, retry_reason::deadline_too_near},
+        {"run would end late", too_long, retry_reason::deadline_too_near}};
+    for (const row& it : rows)
+    {
+        CAPTURE(it.name);
+        core::seeded_random random(1);
+        budgeted_retry_policy policy({}, random);
+        CHECK_EQ(policy.decide(it.call, start).reason, it.want);
+    }
+}
+
+TEST_CASE("the backoff grows, has jitter and is bounded")
+{
+    core::seeded_random random(2);
+    retry_settings settings;
+    settings.max_attempts = 100;
+    settings.budget_constant = 1000;
+    budgeted_retry_policy policy(settings, random);
+    std::set<core::duration> seen;
+    for (std::uint32_t n = 1; n <= 20; ++n)
+    {
+        failed_call it = call_with(run_state::not_run, true);
+        it.attempts = n;
+        const core::duration wait = policy.decide(it, start).backoff;
+        const core::duration full =
+            std::min<core::duration>(25ms * (1U << std::min(n - 1, 10U)), 1s);
+        CHECK_GE(wait, full / 2);
+        CHECK_LE(wait, full);
+        seen.insert(wait);
+    }
+    CHECK_EQ(seen.size(), 20);
+}
+
+TEST_CASE("no retry storm when every upstream fails")
+{
+    core::seeded_random random(3);
+    const retry_settings settings;
+    budgeted_retry_policy policy(settings, random);
+    // 200 calls a second for 60 s; each attempt fails at once.
+    int retries = 0;
+    const int requests = 200 * 60;
+    for (int i = 0; i < requests; ++i)
+    {
+        const core::time_point now = start + i * 5ms;
+        policy.on_request(now);
+        failed_call it = call_with(run_state::not_run, true);
+        it.deadline = now + 60s;
+        while (policy.decide(it, now).allowed())
+        {
+            ++retries;
+            ++it.attempts;
+        }
+    }
+    const double windows = 60.0 / core::to_seconds(settings.window);
+    CHECK_LE(
+        retries, settings.budget_share * requests +
+                     settings.budget_constant * (windows + 1));
+    // The budget is used, not withheld.
+    CHECK_GE(retries, settings.budget_share * requests * 0.8);
+}
+
+TEST_CASE("a window never holds more retries than the budget")
+{
+    CHECK(tests::holds(12, 100, [] {
+        core::seeded_random random(*rc::gen::arbitrary<std::uint64_t>());
+        const retry_settings settings;
+        budgeted_retry_policy policy(settings, random);
+        std::deque<core::time_point> requests;
+        std::deque<core::time_point> retries;
+        core::time_point now = start;
+        for (int i = 0; i < 300; ++i)
+        {
+            now += *rc::gen::inRange(0, 400) * 1ms;
+            for (int n = *rc::gen::inRange(0, 4); n > 0; --n)
+            {
+                policy.on_request(now);
+                requests.push_back(now);
+            }
+            const bool may_have_run = *rc::gen::arbitrary<bool>();
+            const bool idempotent = *rc::gen::arbitrary<bool>();
+            failed_call it = call_with(
+                may_have_run ? run_state::may_have_run : run_state::not_run,
+                idempotent);
+            it.deadline = now + *rc::gen::inRange(0, 5000) * 1ms;
+            const retry_decision got = policy.decide(it, now);
+            if (!got.allowed())
+            {
+                continue;
+            }
+            RC_ASSERT(idempotent || !may_have_run);
+            RC_ASSERT(now + got.backoff < it.deadline);
+            retries.push_back(now);
+            // Everything that the policy may still count lies in the window.
+            const auto old = [&](core::time_point t) {
+                return t <= now - settings.window;
+            };
+            std::erase_if(requests, old);
+            const core::duration kept = settings.window - settings.window / 10;
+            std::erase_if(retries, [&](core::time_point t) {
+                return t <= now - kept;
+            });
+            RC_ASSERT(
+                static_cast<double>(retries.size()) <=
+                settings.budget_share * static_cast<double>(requests.size()) +
+                    settings.budget_constant);
+        }
+    }));
+}
