LibRouting: Let penalties and learned rates lose weight with age

Cause: the new tests showed that an upstream with two failures got no more calls: the penalty on its failure share sent them elsewhere, so it was never ejected, never probed and never forgiven. A slow learned rate stuck the same way.

--- a/Libraries/LibRouting/expected_time.cpp
+++ b/Libraries/LibRouting/expected_time.cpp
@@ -22,7 +22,7 @@
     const std::string& own_data_center, core::time_point now) const
 {
     const upstream_slot& s = *it.upstream;
-    const service_rates learned = rates(s);
+    const service_rates learned = rates(s, now);
     if (!it.local)
     {
         it.network = costs_.other_region_seconds;
@@ -39,9 +39,10 @@
     it.uncached_tokens = std::max(0.0, prompt_tokens - cached_tokens);
     it.work_tokens =
         step_tokens + it.uncached_tokens + s.load.pending_prefill(now);
-    it.seconds = it.network + it.wait +
-                 it.work_tokens * learned.seconds_per_prompt_token +
-                 s.health->failed_share * costs_.failure_seconds;
+    it.seconds =
+        it.network + it.wait +
+        it.work_tokens * learned.seconds_per_prompt_token +
+        (now < s.health->last_choice_until ? costs_.failure_seconds : 0);
     if (cached_tokens == 0)
     {
         it.without_cache = it.seconds;
@@ -49,7 +50,8 @@
 }
 
 expected_time::lesson expected_time::learn(
-    upstream_slot& it, const own_call& call, const call_result& result)
+    upstream_slot& it, const own_call& call, const call_result& result,
+    core::time_point now)
 {
     const double total = core::to_seconds(result.total);
     const double first = core::to_seconds(result.first_token);
@@ -59,23 +61,25 @@
         // Against the rates of all upstreams, not its own: an upstream that
         // became slow must not become its own yardstick.
         const double pooled =
-            pooled_.rates(costs_.prior).seconds_per_prompt_token;
+            pooled_.rates(costs_.prior, now).seconds_per_prompt_token;
         const double expected = call.wait_seconds + call.work_tokens * pooled;
         learned.timed = true;
         learned.slowness = std::log(first / std::max(expected, least_seconds));
         const double work = std::max(0.0, first - call.wait_seconds);
-        it.rates.observe_prefill(work, call.work_tokens);
-        pooled_.observe_prefill(work, call.work_tokens);
+        it.rates.observe_prefill(work, call.work_tokens, now);
+        pooled_.observe_prefill(work, call.work_tokens, now);
         if (result.answer_tokens > 1)
         {
-            it.rates.observe_decode(total - first, result.answer_tokens - 1.0);
-            pooled_.observe_decode(total - first, result.answer_tokens - 1.0);
+            it.rates.observe_decode(
+                total - first, result.answer_tokens - 1.0, now);
+            pooled_.observe_decode(
+                total - first, result.answer_tokens - 1.0, now);
         }
     }
     if (result.outcome == call_outcome::completed)
     {
-        it.rates.observe_call(total);
-        pooled_.observe_call(total);
+        it.rates.observe_call(total, now);
+        pooled_.observe_call(total, now);
     }
     return learned;
 }
--- a/Libraries/LibRouting/expected_time.hpp
+++ b/Libraries/LibRouting/expected_time.hpp
@@ -15,7 +15,8 @@
     service_rates prior;
     double same_region_seconds = 0.003; ///< To another data centre and back.
     double other_region_seconds = 0.05; ///< To another region and back.
-    /// Time that a failed call is expected to cost its caller.
+    /// Added for an upstream that should be ejected while its group has no
+    /// room: about what a failed call costs its caller.
     double failure_seconds = 2.0;
 };
 
@@ -36,12 +37,13 @@
         double slowness = 0; ///< ln(observed / expected of any upstream).
     };
 
-    lesson
-    learn(upstream_slot& it, const own_call& call, const call_result& result);
+    lesson learn(
+        upstream_slot& it, const own_call& call, const call_result& result,
+        core::time_point now);
 
-    service_rates rates(const upstream_slot& it) const
+    service_rates rates(const upstream_slot& it, core::time_point now) const
     {
-        return it.rates.rates(pooled_.rates(costs_.prior));
+        return it.rates.rates(pooled_.rates(costs_.prior, now), now);
     }
 
 private:
--- a/Libraries/LibRouting/expected_time_router.cpp
+++ b/Libraries/LibRouting/expected_time_router.cpp
@@ -411,7 +411,7 @@
     {
         s.paused_until = now + settings_.rejected_pause;
     }
-    const expected_time::lesson learned = times_.learn(s, *call, result);
+    const expected_time::lesson learned = times_.learn(s, *call, result, now);
     const bool failed = result.outcome == call_outcome::failed;
     const bool conclusive = failed || result.outcome == call_outcome::completed;
     if (!call->probe)
@@ -461,9 +461,9 @@
         return {};
     }
     const upstream_slot& s = *it->second;
-    return {s.load.calls(now), s.load.own_in_flight(),
-            times_.rates(s),   ejector_.state(*s.health, now),
-            s.health->cause,   s.ramp.share(now)};
+    return {s.load.calls(now),    s.load.own_in_flight(),
+            times_.rates(s, now), ejector_.state(*s.health, now),
+            s.health->cause,      s.ramp.share(now)};
 }
 
 } // namespace hyssoploft::routing
--- a/Libraries/LibRouting/outlier_ejector.cpp
+++ b/Libraries/LibRouting/outlier_ejector.cpp
@@ -179,6 +179,7 @@
 {
     if (!has_room(it.group))
     {
+        it.last_choice_until = now + settings_.first_time;
         return;
     }
     it.cause = cause;
--- a/Libraries/LibRouting/outlier_ejector.hpp
+++ b/Libraries/LibRouting/outlier_ejector.hpp
@@ -47,7 +47,7 @@
     /// At most this share of a group is out at a time, rounded down: in a
     /// group of two nobody is ejected.
     double max_share = 0.34;
-    std::uint32_t consecutive_failures = 5;
+    std::uint32_t consecutive_failures = 3;
     double error_rate = 0.5;
     std::uint32_t error_rate_calls = 20; ///< Fewer calls are no evidence.
     /// First token later than predicted, relative to the group's median.
@@ -70,6 +70,9 @@
     health_state state = health_state::healthy;
     ejection_cause cause = ejection_cause::none; ///< Of the last ejection.
     core::time_point until{};                    ///< End of the ejection.
+    /// It should be out, but its group has no room; until then it is to be
+    /// chosen last.
+    core::time_point last_choice_until{};
     std::uint32_t ejections = 0; ///< Recent ones; doubles the time.
     bool probe_running = false;
     std::uint32_t probes_passed = 0;
--- a/Libraries/LibRouting/service_rate_estimator.cpp
+++ b/Libraries/LibRouting/service_rate_estimator.cpp
@@ -2,6 +2,9 @@
 
 #include <LibRouting/service_rate_estimator.hpp>
 
+#include <algorithm>
+#include <cmath>
+
 namespace hyssoploft::routing {
 namespace {
 
@@ -9,6 +12,9 @@
 // changed batch size, slow enough to average over long and short prompts.
 constexpr double decay = 0.98;
 
+// Sums halve in this time.
+constexpr double half_life_seconds = 30;
+
 // Weights of the prior, in tokens or calls.
 constexpr double prior_prompt_tokens = 2000;
 constexpr double prior_answer_tokens = 200;
@@ -16,50 +22,63 @@
 
 } // namespace
 
-void service_rate_estimator::decayed_ratio::add(double top, double bottom)
+void service_rate_estimator::decayed_ratio::add(
+    double top, double bottom, core::time_point now)
+{
+    const double kept = decay * fresh(now);
+    numerator = numerator * kept + top;
+    denominator = denominator * kept + bottom;
+    updated = std::max(updated, now);
+}
+
+double service_rate_estimator::decayed_ratio::fresh(core::time_point now) const
 {
-    numerator = numerator * decay + top;
-    denominator = denominator * decay + bottom;
+    const double age = std::max(0.0, core::to_seconds(now - updated));
+    return std::exp2(-age / half_life_seconds);
 }
 
 double service_rate_estimator::decayed_ratio::value(
-    double prior, double prior_weight) const
+    double prior, double prior_weight, core::time_point now) const
 {
-    return (numerator + prior * prior_weight) / (denominator + prior_weight);
+    const double kept = fresh(now);
+    return (numerator * kept + prior * prior_weight) /
+           (denominator * kept + prior_weight);
 }
 
 void service_rate_estimator::observe_prefill(
-    double seconds, double prompt_tokens)
+    double seconds, double prompt_tokens, core::time_point now)
 {
     if (seconds >= 0 && prompt_tokens > 0)
     {
-        prefill_.add(seconds, prompt_tokens);
+        prefill_.add(seconds, prompt_tokens, now);
     }
 }
 
 void service_rate_estimator::observe_decode(
-    double seconds, double answer_tokens)
+    double seconds, double answer_tokens, core::time_point now)
 {
     if (seconds >= 0 && answer_tokens > 0)
     {
-        decode_.add(seconds, answer_tokens);
+        decode_.add(seconds, answer_tokens, now);
     }
 }
 
-void service_rate_estimator::observe_call(double seconds)
+void service_rate_estimator::observe_call(double seconds, core::time_point now)
 {
     if (seconds >= 0)
     {
-        call_.add(seconds, 1);
+        call_.add(seconds, 1, now);
     }
 }
 
-service_rates service_rate_estimator::rates(const service_rates& prior) const
+service_rates service_rate_estimator::rates(
+    const service_rates& prior, core::time_point now) const
 {
     return {
-        prefill_.value(prior.seconds_per_prompt_token, prior_prompt_tokens),
-        decode_.value(prior.seconds_per_answer_token, prior_answer_tokens),
-        call_.value(prior.seconds_per_call, prior_calls)};
+        prefill_.value(
+            prior.seconds_per_prompt_token, prior_prompt_tokens, now),
+        decode_.value(prior.seconds_per_answer_token, prior_answer_tokens, now),
+        call_.value(prior.seconds_per_call, prior_calls, now)};
 }
 
 } // namespace hyssoploft::routing
--- /dev/null
+++ b/Tests/LibRouting/expected_time_router.cpp
@@ -0,0 +1,219 @@
+// The reasons of decisions, ejection and probing through the router, and the
+// price of other regions.
+
+#include "fleet_builder.hpp"
+
+#include <LibRouting/expected_time_router.hpp>
+
+#include <doctest.h>
+
+#include <map>
+
+using namespace hyssoploft;
+using namespace hyssoploft::routing;
+using namespace hyssoploft::tests;
+
+namespace {
+
+struct bench
+{
+    explicit bench(std::uint64_t seed = 1) : random(seed) {}
+
+    route_decision must_choose(const routing_request& request)
+    {
+        const routing_result got = router.choose(request, now);
+        REQUIRE(got.chosen);
+        return got.decision;
+    }
+
+    void install()
+    {
+        fleet.install(router, now);
+    }
+
+    fleet_builder fleet;
+    core::seeded_random random;
+    expected_time_router router{expected_time_settings(), random};
+    core::time_point now = start;
+};
+
+routing_request with_prefix(std::uint64_t first, std::uint32_t blocks = 20)
+{
+    routing_request it = quote(blocks * prefix_block_tokens);
+    for (std::uint64_t i = 0; i < blocks; ++i)
+    {
+        it.prefix_hashes.push_back(first + i);
+    }
+    return it;
+}
+
+} // namespace
+
+TEST_CASE("the reason names what decided")
+{
+    bench it;
+    it.fleet.vms("a", 1).upstreams("a", 1);
+    it.install();
+    CHECK_EQ(it.must_choose(quote()).reason, routing_reason::only_candidate);
+    it.fleet.upstreams("a", 4);
+    it.install();
+    it.now += 60s;
+    CHECK_EQ(
+        it.must_choose(quote()).reason, routing_reason::shortest_expected_time);
+    const routing_request request = with_prefix(500);
+    const std::string holder = it.must_choose(request).upstream;
+    it.router.finished(holder, request, answered(), it.now + 2s);
+    it.now += 2s;
+    const route_decision again = it.must_choose(request);
+    CHECK_EQ(again.upstream, holder);
+    CHECK_EQ(again.reason, routing_reason::prefix_affinity);
+}
+
+TEST_CASE("another region is used only above the price")
+{
+    bench it;
+    it.fleet.vms("a", 1).vms("b", 1).upstreams("a", 1).upstreams("b", 1);
+    it.fleet.link("a", "b", 1e9);
+    it.fleet.report("up-a-0", 20, it.now, 0s); // Some calls queue there.
+    it.install();
+    routing_request request = quote();
+    request.remote_price_seconds = 100;
+    CHECK_EQ(it.must_choose(request).region, "a");
+    request.remote_price_seconds = 0.25;
+    const route_decision far = it.must_choose(request);
+    CHECK_EQ(far.region, "b");
+    CHECK_EQ(far.reason, routing_reason::remote_gain);
+    request.local_only = true;
+    CHECK_EQ(it.must_choose(request).region, "a");
+}
+
+TEST_CASE("calls to another region stay within the link's budget")
+{
+    bench it;
+    it.fleet.vms("a", 1).vms("b", 1).upstreams("b", 4, 1000);
+    const double rate = 1e5;
+    it.fleet.link("a", "b", rate);
+    it.install();
+    const routing_request request = quote();
+    const expected_time_settings settings;
+    const double bytes = request.answer_limit * settings.answer_bytes_per_token;
+    double sent = 0;
+    bool refused = false;
+    for (int i = 0; i < 600; ++i)
+    {
+        const routing_result got = it.router.choose(request, it.now);
+        if (got.chosen)
+        {
+            sent += bytes;
+        }
+        else
+        {
+            refused = true;
+            CHECK_EQ(got.refusal, no_route_reason::link_budget_exhausted);
+        }
+        it.now += 100ms;
+    }
+    CHECK(refused);
+    CHECK_LE(
+        sent,
+        rate * settings.link.usable_share * (60 + settings.link.burst_seconds));
+    CHECK_GE(sent, rate * settings.link.usable_share * 50);
+}
+
+TEST_CASE("a failing upstream is ejected, probed one call at a time, and "
+          "returns with a growing share")
+{
+    bench it;
+    it.fleet.vms("a", 1).upstreams("a", 3);
+    it.install();
+    const routing_request request = quote();
+    // up-a-1 fails every call until it is out.
+    for (int i = 0; i < 200; ++i)
+    {
+        const std::string to = it.must_choose(request).upstream;
+        it.now += 10ms;
+        it.router.finished(
+            to, request, to == "up-a-1" ? failed() : answered(150ms, 10ms),
+            it.now);
+    }
+    CHECK_EQ(it.router.belief("up-a-1", it.now).health, health_state::ejected);
+    it.now += 12s;
+    // The first call is the probe; while it runs there is no other.
+    CHECK_EQ(it.must_choose(request).reason, routing_reason::probe);
+    for (int i = 0; i < 20; ++i)
+    {
+        CHECK_NE(it.must_choose(request).upstream, "up-a-1");
+    }
+    for (int probes = 0; probes < 3; ++probes)
+    {
+        it.now += 2s;
+        it.router.finished("up-a-1", request, answered(), it.now);
+        if (probes < 2)
+        {
+            const route_decision probe = it.must_choose(request);
+            CHECK_EQ(probe.upstream, "up-a-1");
+            CHECK_EQ(probe.reason, routing_reason::probe);
+        }
+    }
+    const upstream_belief back = it.router.belief("up-a-1", it.now);
+    CHECK_EQ(back.health, health_state::healthy);
+    CHECK_LT(back.ramp_share, 0.2);
+}
+
+TEST_CASE("a probe whose caller went away is repeated, not passed")
+{
+    bench it;
+    it.fleet.vms("a", 1).upstreams("a", 3);
+    it.install();
+    const routing_request request = quote();
+    for (int i = 0; i < 200; ++i)
+    {
+        const std::string to = it.must_choose(request).upstream;
+        it.router.finished(
+            to, request, to == "up-a-1" ? failed() : answered(150ms, 1ms),
+            it.now);
+    }
+    it.now += 12s;
+    for (int i = 0; i < 10; ++i)
+    {
+        const route_decision probe = it.must_choose(request);
+        REQUIRE_EQ(probe.reason, routing_reason::probe);
+        it.router.finished(
+            probe.upstream, request, {call_outcome::cancelled, {}, 1ms, 0, 0},
+            it.now);
+    }
+    CHECK_EQ(it.router.belief("up-a-1", it.now).health, health_state::probing);
+}
+
+TEST_CASE("an upstream that refused for load is left alone for a moment")
+{
+    bench it;
+    it.fleet.vms("a", 1).upstreams("a", 1);
+    it.install();
+    it.must_choose(quote());
+    it.router.finished(
+        "up-a-0", quote(), {call_outcome::rejected_full, {}, 1ms, 0, 0},
+        it.now);
+    CHECK_EQ(
+        it.router.choose(quote(), it.now).refusal,
+        no_route_reason::all_ejected_or_full);
+    it.now += 1s;
+    it.must_choose(quote());
+    CHECK_EQ(it.router.belief("up-a-0", it.now).health, health_state::healthy);
+}
+
+TEST_CASE("a restarted upstream has no cached prefixes")
+{
+    bench it;
+    it.fleet.vms("a", 1).upstreams("a", 4);
+    it.install();
+    const routing_request request = with_prefix(700);
+    const std::string holder = it.must_choose(request).upstream;
+    it.router.finished(holder, request, answered(), it.now + 2s);
+    it.now += 2s;
+    ++it.fleet.upstream(holder).incarnation;
+    it.install();
+    it.now += 60s;
+    CHECK_EQ(
+        it.must_choose(request).reason, routing_reason::shortest_expected_time);
+}
--- /dev/null
+++ b/Tests/LibRouting/health_and_ramp.cpp
@@ -0,0 +1,212 @@
+// Guards against ejecting too many upstreams, never readmitting one, and
+// flooding one that has just returned.
+
+#include "fleet_builder.hpp"
+
+#include <LibRouting/capacity_ramp.hpp>
+#include <LibRouting/outlier_ejector.hpp>
+
+#include <Support/seeded_property.hpp>
+
+#include <doctest.h>
+
+#include <cmath>
+#include <functional>
+
+using namespace hyssoploft;
+using namespace hyssoploft::routing;
+using namespace hyssoploft::tests;
+
+namespace {
+
+/// An ejector with a group of peers that have worked normally.
+struct group_of
+{
+    explicit group_of(int n)
+    {
+        for (int i = 0; i < n; ++i)
+        {
+            members.push_back(&ejector.add(std::to_string(i), "engine/a"));
+        }
+        for (int k = 0; k < 30; ++k)
+        {
+            for (upstream_health* it : members)
+            {
+                ejector.call_ended(*it, false, true, 0.1, start);
+                ejector.report_checked(*it, false, start);
+            }
+        }
+    }
+
+    outlier_ejector ejector{ejector_settings()};
+    std::vector<upstream_health*> members;
+};
+
+} // namespace
+
+TEST_CASE("each kind of outlier is ejected for its cause")
+{
+    struct row
+    {
+        const char* name;
+        std::function<void(outlier_ejector&, upstream_health&)> apply;
+        ejection_cause want;
+    };
+    const row rows[] = {
+        {"two failures in a row are not enough",
+         [](auto& e, auto& it) {
+             for (int i = 0; i < 2; ++i)
+             {
+                 e.call_ended(it, true, false, 0, start);
+             }
+         },
+         ejection_cause::none},
+        {"three failures in a row",
+         [](auto& e, auto& it) {
+             for (int i = 0; i < 3; ++i)
+             {
+                 e.call_ended(it, true, false, 0, start);
+             }
+         },
+         ejection_cause::consecutive_failures},
+        {"two failures of three calls",
+         [](auto& e, auto& it) {
+             for (int i = 0; i < 60; ++i)
+             {
+                 e.call_ended(it, i % 3 != 0, false, 0, start);
+             }
+         },
+         ejection_cause::error_rate},
+        {"slow against its peers",
+         [](auto& e, auto& it) {
+             for (int i = 0; i < 60; ++i)
+             {
+                 e.call_ended(it, false, true, std::log(5.0), start);
+             }
+         },
+         ejection_cause::slow},
+        {"reports that understate its load",
+         [](auto& e, auto& it) {
+             for (int i = 0; i < 20; ++i)
+             {
+                 e.report_checked(it, true, start);
+             }
+         },
+         ejection_cause::misreporting}};
+    for (const row& it : rows)
+    {
+        CAPTURE(it.name);
+        group_of group(4);
+        it.apply(group.ejector, *group.members[0]);
+        CHECK_EQ(group.members[0]->cause, it.want);
+        CHECK_EQ(
+            group.ejector.state(*group.members[0], start),
+            it.want == ejection_cause::none ? health_state::healthy
+                                            : health_state::ejected);
+    }
+}
+
+TEST_CASE("a group that is slow as a whole ejects nobody")
+{
+    group_of group(4);
+    for (int i = 0; i < 100; ++i)
+    {
+        for (upstream_health* it : group.members)
+        {
+            group.ejector.call_ended(*it, false, true, 2.5, start);
+        }
+    }
+    CHECK_EQ(group.ejector.out("engine/a"), 0);
+}
+
+TEST_CASE("never more than the share of a group is out")
+{
+    CHECK(tests::holds(71, 100, [] {
+        const int n = *rc::gen::inRange(1, 13);
+        group_of group(n);
+        const double share = ejector_settings().max_share;
+        core::time_point now = start;
+        for (int i = 0; i < 400; ++i)
+        {
+            now += *rc::gen::inRange(0, 2000) * 1ms;
+            upstream_health& it = *group.members[static_cast<std::size_t>(
+                *rc::gen::inRange(0, n))];
+            const bool bad = *rc::gen::inRange(0, 4) != 0;
+            if (group.ejector.state(it, now) == health_state::probing)
+            {
+                RC_ASSERT(!it.probe_running);
+                group.ejector.probe_started(it);
+                group.ejector.probe_ended(it, bad, 0, now);
+            }
+            else
+            {
+                group.ejector.call_ended(it, bad, false, 0, now);
+                group.ejector.report_checked(it, bad, now);
+            }
+            RC_ASSERT(group.ejector.out("engine/a") <= std::floor(n * share));
+        }
+    }));
+}
+
+TEST_CASE("probes bring an upstream back, a failed one doubles the time")
+{
+    const ejector_settings settings;
+    group_of group(3);
+    upstream_health& it = *group.members[0];
+    for (int i = 0; i < 3; ++i)
+    {
+        group.ejector.call_ended(it, true, false, 0, start);
+    }
+    CHECK_EQ(
+        group.ejector.state(it, start + settings.first_time - 1ns),
+        health_state::ejected);
+    core::time_point now = start + settings.first_time;
+    CHECK_EQ(group.ejector.state(it, now), health_state::probing);
+    CHECK_FALSE(group.ejector.probe_ended(it, true, 0, now));
+    CHECK_EQ(it.until, now + 2 * settings.first_time);
+    now = it.until;
+    CHECK_EQ(group.ejector.state(it, now), health_state::probing);
+    // A slow probe fails as well.
+    CHECK_FALSE(group.ejector.probe_ended(it, false, std::log(6.0), now));
+    now = it.until;
+    CHECK_EQ(group.ejector.state(it, now), health_state::probing);
+    for (std::uint32_t i = 1; i < settings.probes_to_return; ++i)
+    {
+        CHECK_FALSE(group.ejector.probe_ended(it, false, 0, now));
+    }
+    CHECK(group.ejector.probe_ended(it, false, 0, now));
+    CHECK_EQ(group.ejector.state(it, now), health_state::healthy);
+    // Its old failures don't eject it again.
+    group.ejector.call_ended(it, true, false, 0, now);
+    CHECK_EQ(group.ejector.state(it, now), health_state::healthy);
+}
+
+TEST_CASE("upstreams that don't serve are no members of the group")
+{
+    group_of group(3);
+    group.members[2]->serving = false;
+    for (int i = 0; i < 9; ++i)
+    {
+        group.ejector.call_ended(*group.members[0], true, false, 0, start);
+    }
+    CHECK_EQ(group.ejector.out("engine/a"), 0);
+    // It is chosen last instead.
+    CHECK_GT(group.members[0]->last_choice_until, start);
+}
+
+TEST_CASE("the ramp grows from its first share to the whole")
+{
+    const ramp_settings settings;
+    capacity_ramp ramp(settings);
+    CHECK_EQ(ramp.share(start), doctest::Approx(1));
+    ramp.begin(start);
+    CHECK_EQ(ramp.share(start), doctest::Approx(settings.first_share));
+    double last = 0;
+    for (int i = 0; i <= 30; ++i)
+    {
+        const double share = ramp.share(start + i * settings.length / 30);
+        CHECK_GT(share, last);
+        last = share;
+    }
+    CHECK_EQ(last, doctest::Approx(1));
+}
