--- /dev/null
+++ b/Tests/LibMembership/messages.cpp
@@ -0,0 +1,130 @@
+// Guards against messages whose size is misjudged and against fields that no
+// code expects.
+
+#include <LibMembership/fake_fleet.hpp>
+
+#include <doctest.h>
+#include <rapidcheck.h>
+
+using namespace hyssoploft;
+namespace m = hyssoploft::membership;
+
+namespace {
+
+m::member_update self_update()
+{
+    m::member_update it;
+    it.id = "vm1";
+    it.region = "region0";
+    it.peer_address = "10.0.0.1:7000";
+    return it;
+}
+
+} // namespace
+
+TEST_CASE("sizes are those of the encoding")
+{
+    CHECK(rc::check(
+        "sizes", [](std::string text, std::uint64_t a, std::uint32_t b) {
+            m::member_update vm = self_update();
+            vm.region = text;
+            vm.incarnation = a;
+            RC_ASSERT(m::encoded_size(vm) == wire::encode(vm).size());
+            auto upstream = m::upstream_update{};
+            upstream.id = text;
+            upstream.models = {text, "x"};
+            upstream.sequence = a;
+            upstream.capacity = b;
+            RC_ASSERT(
+                m::encoded_size(upstream) == wire::encode(upstream).size());
+            const m::summary_update summary{text, b, b, a, a, a, a};
+            RC_ASSERT(m::encoded_size(summary) == wire::encode(summary).size());
+        }));
+}
+
+TEST_CASE("messages with bad fields are dropped and counted")
+{
+    struct fault
+    {
+        const char* what;
+        std::function<void(m::ping&)> apply;
+    };
+    const fault faults[] = {
+        {"other sender",
+         [](auto& p) {
+             p.self.id = "vm2";
+         }},
+        {"no identifier",
+         [](auto& p) {
+             p.self.id.clear();
+         }},
+        {"no region",
+         [](auto& p) {
+             p.self.region.clear();
+         }},
+        {"no address",
+         [](auto& p) {
+             p.self.peer_address.clear();
+         }},
+        {"long address",
+         [](auto& p) {
+             p.self.peer_address.assign(200, 'x');
+         }},
+        {"unknown state",
+         [](auto& p) {
+             p.self.state = static_cast<m::vm_state>(9);
+         }},
+        {"long target",
+         [](auto& p) {
+             p.target.assign(65, 'x');
+         }},
+        {"unknown upstream state",
+         [](auto& p) {
+             p.news.upstreams.resize(1);
+             p.news.upstreams[0].id = "u";
+             p.news.upstreams[0].state = static_cast<m::upstream_state>(7);
+         }},
+        {"bucket out of range",
+         [](auto& p) {
+             p.news.renewals.resize(1);
+             p.news.renewals[0].bucket = m::bucket_count;
+         }},
+        {"too many updates",
+         [](auto& p) {
+             p.news.members.assign(65, self_update());
+         }},
+    };
+    for (const auto& it : faults)
+    {
+        CAPTURE(it.what);
+        tests::fake_fleet fleet({});
+        m::ping ping;
+        ping.probe = 1;
+        ping.self = self_update();
+        it.apply(ping);
+        auto& member = fleet.member(0);
+        (void)member.take_outgoing();
+        member.on_message("vm1", ping, fleet.now());
+        CHECK_EQ(member.counters().invalid_messages, 1);
+        CHECK(member.take_outgoing().empty());
+        CHECK(member.table().members().empty());
+    }
+}
+
+TEST_CASE("random bytes never harm a member")
+{
+    tests::fake_fleet fleet({});
+    auto& member = fleet.member(0);
+    CHECK(rc::check("bytes", [&](std::string text) {
+        const auto feed = [&](const auto& decoded) {
+            if (decoded.ok())
+            {
+                member.on_message("vm1", *decoded, fleet.now());
+            }
+        };
+        feed(wire::decode<m::ping>(text));
+        feed(wire::decode<m::ack>(text));
+        feed(wire::decode<m::ping_request>(text));
+        feed(wire::decode<m::state_sync>(text));
+    }));
+}
