--- a/Libraries/LibMembership/failure_detector.cpp
+++ b/Libraries/LibMembership/failure_detector.cpp
@@ -272,6 +272,15 @@
                         ""};
 }
 
+bool failure_detector::has_live_region_peer() const
+{
+    return std::any_of(
+        table_.members().begin(), table_.members().end(), [&](const auto& m) {
+            return is_live(m.second) &&
+                   m.second.record.region == table_.self().region;
+        });
+}
+
 bool failure_detector::hears_no_region_peer(core::time_point now) const
 {
     bool has_others = false;
--- a/Libraries/LibMembership/failure_detector.hpp
+++ b/Libraries/LibMembership/failure_detector.hpp
@@ -90,6 +90,9 @@
     /// this VM isn't isolated: they would have passed on a refutation.
     bool hears_no_region_peer(core::time_point now) const;
 
+    /// A peer of the region that isn't dead, heard or not.
+    bool has_live_region_peer() const;
+
     member_table& table()
     {
         return table_;
--- a/Libraries/LibMembership/fleet_member_sync.cpp
+++ b/Libraries/LibMembership/fleet_member_sync.cpp
@@ -58,7 +58,8 @@
     auto with = detector_.table().pick(1, random_, [&](const member& m) {
         return urgent && m.record.region == region && heard(m);
     });
-    if (with.empty() && (!urgent || !isolated_))
+    if (with.empty() &&
+        (!urgent || !isolated_ || !detector_.has_live_region_peer()))
     {
         with = detector_.table().pick(1, random_, [](const member& m) {
             return m.record.state == vm_state::alive;
@@ -323,7 +324,8 @@
 
 void fleet_member::on_synced(const member_update& with)
 {
-    if (with.region != options_.self.region)
+    // Without a live peer of the region, what others know must do.
+    if (with.region != options_.self.region && detector_.has_live_region_peer())
     {
         return;
     }
--- a/Tests/LibMembership/fake_fleet.hpp
+++ b/Tests/LibMembership/fake_fleet.hpp
@@ -9,13 +9,14 @@
 #include <LibWire/frame_codec.hpp>
 #include <LibWire/serialization.hpp>
 
+#include <algorithm>
+#include <array>
 #include <chrono>
 #include <functional>
 #include <map>
 #include <memory>
 #include <queue>
 #include <set>
-#include <stdexcept>
 #include <string>
 #include <vector>
 
@@ -36,7 +37,6 @@
 {
     std::uint64_t messages = 0;
     std::uint64_t bytes = 0; ///< With frame, without IP headers.
-    std::uint64_t largest_datagram = 0;
 };
 
 class fake_fleet
@@ -80,7 +80,7 @@
         for (std::size_t n = 0; n < options_.vms; ++n)
         {
             start(n);
-            push(event{now_ + jitter(), next_++, n, nullptr, ""});
+            push(event{now_ + jitter(), next_++, n, nullptr});
         }
     }
 
@@ -182,8 +182,7 @@
         core::time_point at;
         std::uint64_t order;
         std::size_t to;
-        std::shared_ptr<std::pair<std::size_t, std::string>> bytes;
-        std::string from; // Empty: a tick.
+        std::shared_ptr<const std::string> bytes; // A frame; null: a tick.
 
         bool operator<(const event& other) const
         {
@@ -230,7 +229,7 @@
         auto& to = *vms_[it.to];
         if (!it.bytes)
         {
-            push(event{now_ + tick_, next_++, it.to, nullptr, ""});
+            push(event{now_ + tick_, next_++, it.to, nullptr});
             if (!to.up || to.paused)
             {
                 return;
@@ -250,24 +249,21 @@
         {
             return;
         }
-        auto decoded = decode(it.bytes->first, it.bytes->second);
         ++to.received.messages;
-        to.received.bytes += it.bytes->second.size() + overhead(it.from);
+        to.received.bytes += it.bytes->size();
+        const auto frame = std::get<wire::frame>(
+            codec_.decode(*it.bytes, to.address, wire::max_stream_frame_bytes));
+        auto decoded = decode(frame.type, frame.payload);
         if (to.paused)
         {
             to.inbox.push_back(std::move(decoded));
-            to.inbox_from.push_back(it.from);
+            to.inbox_from.push_back(frame.sender);
             return;
         }
-        to.member->on_message(it.from, decoded, now_);
+        to.member->on_message(frame.sender, decoded, now_);
         flush(to);
     }
 
-    static std::size_t overhead(const std::string& sender)
-    {
-        return wire::frame_overhead(sender.size());
-    }
-
     template <typename T>
     static membership::message decode_as(const std::string& bytes)
     {
@@ -275,15 +271,15 @@
     }
 
     static membership::message
-    decode(std::size_t type, const std::string& bytes)
+    decode(wire::message_type type, const std::string& bytes)
     {
         switch (type)
         {
-        case 0:
+        case wire::message_type::ping:
             return decode_as<membership::ping>(bytes);
-        case 1:
+        case wire::message_type::ack:
             return decode_as<membership::ack>(bytes);
-        case 2:
+        case wire::message_type::ping_request:
             return decode_as<membership::ping_request>(bytes);
         default:
             return decode_as<membership::state_sync>(bytes);
@@ -314,28 +310,30 @@
 
     void send(vm& from, const membership::outgoing_message& it)
     {
-        const bool stream =
-            std::holds_alternative<membership::state_sync>(it.body);
-        auto bytes = std::make_shared<std::pair<std::size_t, std::string>>(
-            it.body.index(), std::visit(
-                                 [](const auto& m) {
-                                     return wire::encode(m);
-                                 },
-                                 it.body));
-        const auto n = bytes->second.size() + overhead(from.id);
+        constexpr std::array types{
+            wire::message_type::ping, wire::message_type::ack,
+            wire::message_type::ping_request, wire::message_type::state_sync};
+        const auto type = types[it.body.index()];
+        const bool stream = type == wire::message_type::state_sync;
+        auto payload = std::visit(
+            [](const auto& m) {
+                return wire::encode(m);
+            },
+            it.body);
+        // Fails the test if the message exceeds its bound.
+        auto bytes = std::make_shared<const std::string>(
+            codec_
+                .encode(
+                    {type, from.id, from.incarnation, ++next_,
+                     std::move(payload)},
+                    it.address,
+                    stream ? wire::max_stream_frame_bytes
+                           : wire::max_datagram_bytes)
+                .value());
         for (auto* count : {&from.sent, &from.sent_by_type[it.body.index()]})
         {
             ++count->messages;
-            count->bytes += n;
-        }
-        if (!stream)
-        {
-            from.sent.largest_datagram =
-                std::max<std::uint64_t>(from.sent.largest_datagram, n);
-            if (n > wire::max_datagram_bytes)
-            {
-                throw std::length_error("datagram too large");
-            }
+            count->bytes += bytes->size();
         }
         const auto found = by_address_.find(it.address);
         if (found == by_address_.end())
@@ -353,12 +351,15 @@
             const auto delay =
                 options_.min_delay +
                 core::from_seconds(core::to_seconds(span) * random_.uniform());
-            push(event{now_ + delay, next_++, found->second, bytes, from.id});
+            push(event{now_ + delay, next_++, found->second, bytes});
         }
     }
 
     fake_options options_;
     core::seeded_random random_;
+    const wire::frame_codec codec_ =
+        wire::frame_codec::create({{1, "a fleet key of thirty-two bytes!"}, {}})
+            .value();
     std::vector<std::unique_ptr<vm>> vms_;
     std::map<std::string, std::size_t> by_address_;
     std::priority_queue<event> events_;
