--- a/Libraries/LibMembership/failure_detector.cpp
+++ b/Libraries/LibMembership/failure_detector.cpp
@@ -79,7 +79,8 @@
 {
     for (auto it = probes_.begin(); it != probes_.end();)
     {
-        auto& [probe, flight] = *it;
+        const auto probe = it->first;
+        auto& flight = it->second;
         auto* target = table_.find(flight.target);
         if (target == nullptr || !is_live(*target))
         {
--- a/Libraries/LibMembership/fleet_member_news.cpp
+++ b/Libraries/LibMembership/fleet_member_news.cpp
@@ -92,6 +92,12 @@
                 return true;
             }
             auto update = upstreams_.update_of(*it, it->left);
+            // A large description travels by state_sync, which peers start
+            // when they find that their buckets differ.
+            if (encoded_size(update) > options_.datagram_payload / 3)
+            {
+                return true;
+            }
             const bool fits = out.upstreams.size() < max_updates &&
                               changes.take(encoded_size(update));
             if (fits)
--- a/Libraries/LibMembership/messages.cpp
+++ b/Libraries/LibMembership/messages.cpp
@@ -10,6 +10,8 @@
 
 constexpr std::size_t max_id_bytes = 64;
 constexpr std::size_t max_text_bytes = 128;
+// An ack can hold the records of two VMs within a datagram.
+constexpr std::size_t max_vm_text_bytes = 64;
 constexpr std::size_t max_list = 64;
 // Of a whole table; a frame of 1 MiB holds no more in practice.
 constexpr std::size_t max_rows = 8192;
@@ -24,12 +26,17 @@
     return it.size() <= max_text_bytes;
 }
 
+bool valid_vm_text(const std::string& it)
+{
+    return it.size() <= max_vm_text_bytes;
+}
+
 bool valid(const member_update& it)
 {
     return valid_id(it.id) &&
            core::name_of(vm_state_names, it.state) != "unknown" &&
-           valid_text(it.region) && valid_text(it.data_center) &&
-           valid_text(it.http_address) && valid_text(it.peer_address);
+           valid_vm_text(it.region) && valid_vm_text(it.data_center) &&
+           valid_vm_text(it.http_address) && valid_vm_text(it.peer_address);
 }
 
 bool valid_texts(const std::vector<std::string>& it)
--- a/Libraries/LibMembership/upstream_registry.cpp
+++ b/Libraries/LibMembership/upstream_registry.cpp
@@ -97,6 +97,11 @@
 {
     it.record.sequence = sequence;
     it.lease_until = now + lease;
+    if (!it.placed)
+    {
+        it.placed = true;
+        mark_stale(it);
+    }
     if (it.record.state == upstream_state::expired)
     {
         it.record.state =
@@ -257,9 +262,15 @@
         {
             e.record.state = upstream_state::expired;
             e.ended = now;
-            mark_stale(e);
+            ++changes_;
             changed = true;
         }
+        if (e.placed && e.record.state == upstream_state::expired &&
+            now - e.ended > place_life)
+        {
+            e.placed = false;
+            mark_stale(e);
+        }
         const bool forgotten = e.record.state == upstream_state::expired &&
                                now - e.ended > tombstone_life;
         if (forgotten)
--- a/Libraries/LibMembership/upstream_registry.hpp
+++ b/Libraries/LibMembership/upstream_registry.hpp
@@ -32,6 +32,10 @@
     /// Expired and departed upstreams are remembered so long, so that old
     /// news doesn't bring them back.
     static constexpr core::duration tombstone_life = std::chrono::minutes(10);
+    /// Ended upstreams keep their place in the buckets so long. If a lease
+    /// that ended on one VM only changed the digest, that VM would no longer
+    /// take renewals of its whole bucket.
+    static constexpr core::duration place_life = std::chrono::seconds(30);
     /// A gap of more renewals than this is not taken from one byte.
     static constexpr std::uint64_t max_renewal_gap = 32;
 
@@ -87,6 +91,7 @@
         core::time_point ended{};    // When the lease ended; valid if so.
         core::time_point measured{}; // Of the load; zero without one.
         bool left = false;
+        bool placed = true; // Has a place in its bucket.
     };
 
     const entry* find(const std::string& id) const;
@@ -112,7 +117,7 @@
 private:
     struct live_bucket
     {
-        std::vector<entry*> live; // Not expired, in the order of identifiers.
+        std::vector<entry*> placed; // In the order of identifiers.
         std::uint64_t digest = 0;
         bool stale = true; // The members above must be computed again.
     };
--- a/Libraries/LibMembership/upstream_renewals.cpp
+++ b/Libraries/LibMembership/upstream_renewals.cpp
@@ -11,7 +11,7 @@
 
 namespace {
 
-// Zero is left for a live upstream without a sequence.
+// Zero means that the lease has ended at the sender.
 constexpr std::uint64_t renewal_modulus = 255;
 
 constexpr core::duration age_unit = std::chrono::milliseconds(100);
@@ -57,16 +57,15 @@
     {
         return b;
     }
-    b.live.clear();
+    b.placed.clear();
     b.digest = 0;
     for (auto& [id, it] : entries_)
     {
-        if (bucket_of(it.id_hash) != n ||
-            it.record.state == upstream_state::expired)
+        if (bucket_of(it.id_hash) != n || !it.placed)
         {
             continue;
         }
-        b.live.push_back(&it);
+        b.placed.push_back(&it);
         const auto life = hash_mix(it.id_hash, it.record.incarnation);
         b.digest += hash_mix(life, it.described * 2 + (it.left ? 1 : 0));
     }
@@ -90,11 +89,12 @@
     bucket_renewals out;
     out.bucket = static_cast<std::uint8_t>(bucket);
     out.digest = short_digest(b.digest);
-    out.renewals.reserve(b.live.size());
-    for (const auto* it : b.live)
+    out.renewals.reserve(b.placed.size());
+    for (const auto* it : b.placed)
     {
+        const bool ended = it->record.state == upstream_state::expired;
         out.renewals.push_back(
-            to_byte(1 + it->record.sequence % renewal_modulus));
+            to_byte(ended ? 0 : 1 + it->record.sequence % renewal_modulus));
     }
     return out;
 }
@@ -104,14 +104,14 @@
 {
     const auto& b = fresh_bucket(it.bucket);
     if (it.digest != short_digest(b.digest) ||
-        it.renewals.size() != b.live.size())
+        it.renewals.size() != b.placed.size())
     {
         return false;
     }
-    for (std::size_t n = 0; n < b.live.size(); ++n)
+    for (std::size_t n = 0; n < b.placed.size(); ++n)
     {
         const auto byte = from_byte(it.renewals[n]);
-        auto& e = *b.live[n];
+        auto& e = *b.placed[n];
         if (byte == 0)
         {
             continue;
@@ -134,7 +134,7 @@
     out.bucket = static_cast<std::uint8_t>(bucket);
     out.digest = short_digest(b.digest);
     bool any = false;
-    for (const auto* it : b.live)
+    for (const auto* it : b.placed)
     {
         if (it->record.region != region_)
         {
@@ -167,7 +167,7 @@
     }
     bool changed = false;
     std::size_t at = 0;
-    for (auto* e : b.live)
+    for (auto* e : b.placed)
     {
         if (e->record.region != region_)
         {
--- a/Tests/LibMembership/messages.cpp
+++ b/Tests/LibMembership/messages.cpp
@@ -68,7 +68,7 @@
          }},
         {"long address",
          [](auto& p) {
-             p.self.peer_address.assign(200, 'x');
+             p.self.peer_address.assign(65, 'x');
          }},
         {"unknown state",
          [](auto& p) {
