--- a/Libraries/LibMembership/failure_detector.cpp
+++ b/Libraries/LibMembership/failure_detector.cpp
@@ -79,7 +79,8 @@
 {
     for (auto it = probes_.begin(); it != probes_.end();)
     {
-        auto& [probe, flight] = *it;
+        const auto probe = it->first;
+        auto& flight = it->second;
         auto* target = table_.find(flight.target);
         if (target == nullptr || !is_live(*target))
         {
@@ -272,6 +273,15 @@
                         ""};
 }
 
+bool failure_detector::has_live_region_peer() const
+{
+    return std::any_of(
+        table_.members().begin(), table_.members().end(), [&](const auto& m) {
+            return is_live(m.second) &&
+                   m.second.record.region == table_.self().region;
+        });
+}
+
 bool failure_detector::hears_no_region_peer(core::time_point now) const
 {
     bool has_others = false;
