--- /dev/null
+++ b/Tests/LibRouting/bench_routing.cpp
@@ -0,0 +1,509 @@
+// Compares the routers on the two deployments in virtual time. Prints a table
+// and then JSON. Usage: bench_routing [seeds]
+
+#include "bench_model.hpp"
+
+#include <LibRouting/expected_time_router.hpp>
+#include <LibRouting/least_in_flight_router.hpp>
+#include <LibRouting/round_robin_router.hpp>
+
+#include <cstdio>
+#include <cstdlib>
+#include <functional>
+#include <map>
+#include <queue>
+
+using namespace hyssoploft;
+using namespace hyssoploft::bench;
+
+namespace {
+
+// Engine i is in region i % regions. Region 0 loses its engines and gets them
+// back with empty caches. Engine 1 is 4 times slower for a while. Engine 2
+// always reports that it has no calls.
+constexpr double warm_up = 60, lost_at = 200, back_at = 300;
+constexpr double slow_from = 100, slow_until = 400;
+constexpr double lease_seconds = 6, far_seconds = 0.02; // One way.
+constexpr double patience = 20; // Longest time that a call is retried.
+
+constexpr const char* measures[] = {
+    "interactive_first_p50_s",
+    "interactive_first_p95_s",
+    "interactive_first_p99_s",
+    "batch_first_p95_s",
+    "token_gap_p95_s",
+    "worst_account_first_p95_s",
+    "remote_share",
+    "prefill_Mtokens",
+    "link_MB",
+    "not_completed_share"};
+using figures = std::vector<double>; // In the order of `measures`.
+
+double quantile(std::vector<double> values, double q)
+{
+    const auto n =
+        static_cast<std::size_t>(q * (static_cast<double>(values.size()) - 1));
+    std::nth_element(values.begin(), values.begin() + n, values.end());
+    return values.at(n);
+}
+
+core::time_point at(double seconds)
+{
+    return core::time_point(std::chrono::hours(1)) +
+           core::from_seconds(seconds);
+}
+
+using make_router =
+    std::function<std::unique_ptr<routing::router>(core::random_source&)>;
+
+/// One run of one router on one deployment.
+class simulation
+{
+public:
+    simulation(
+        const deployment& d, const std::vector<arrival>& arrivals,
+        std::uint64_t seed, const make_router& make)
+        : d_(d), arrivals_(arrivals), random_(seed), engines_(d.engines),
+          reported_(d.engines), cache_sequence_(d.engines)
+    {
+        for (int i = 0; i < d.vms; ++i)
+        {
+            membership::vm_record it;
+            it.id = core::concat("vm", i);
+            it.region = core::concat("r", i % regions);
+            fleet_.vms[it.id] = it;
+            // Routers draw from their own numbers, so that every kind of
+            // router sees the same lags.
+            vm_random_.push_back(
+                std::make_unique<core::seeded_random>(seed * 1000 + i));
+            routers_.push_back(make(*vm_random_.back()));
+        }
+        for (int i = 0; i < d.engines; ++i)
+        {
+            membership::upstream_record it;
+            it.id = core::concat("engine", i);
+            it.role = "engine";
+            it.models = {"quote"};
+            it.region = core::concat("r", i % regions);
+            it.capacity = engine_capacity;
+            numbers_[it.id] = i;
+            fleet_.upstreams[it.id] = it;
+        }
+        for (int link = 0; link < regions * regions; ++link)
+        {
+            configuration_->declared_fleet.links.push_back(
+                {core::concat("r", link / regions),
+                 core::concat("r", link % regions), d.link_bytes_per_second});
+        }
+    }
+
+    figures run()
+    {
+        for (const arrival& it : arrivals_)
+        {
+            when(it.time, [this, &it] {
+                submit(it, {});
+            });
+        }
+        for (std::size_t i = 0; i < engines_.size(); ++i)
+        {
+            when(random_.uniform(), [this, i] {
+                report(i);
+            });
+        }
+        when(0, [this] {
+            refresh();
+        });
+        when(slow_from, [this] {
+            engines_[1].slowness = 4;
+        });
+        when(slow_until, [this] {
+            engines_[1].slowness = 1;
+        });
+        when(lost_at, [this] {
+            lose_region();
+        });
+        when(lost_at + lease_seconds, [this] {
+            listed_ = false;
+        });
+        when(back_at, [this] {
+            return_region();
+        });
+        while (events_.top().time < day_seconds + patience)
+        {
+            const event it = events_.top();
+            events_.pop();
+            now_ = it.time;
+            it.run();
+        }
+        return summary();
+    }
+
+private:
+    struct event
+    {
+        double time;
+        std::uint64_t order;
+        std::function<void()> run;
+
+        bool operator<(const event& other) const
+        {
+            return std::tie(time, order) > std::tie(other.time, other.order);
+        }
+    };
+
+    /// A call that a router has sent.
+    struct sent
+    {
+        const arrival* source;
+        std::size_t engine, vm;
+        double chosen;
+        bool remote;
+        std::set<std::string> tried;
+        double first = 0, bytes = 0;
+    };
+
+    void when(double time, std::function<void()> run)
+    {
+        events_.push({time, order_++, std::move(run)});
+    }
+
+    void report(std::size_t i)
+    {
+        engine& e = engines_[i];
+        const std::uint32_t calls = i == 2 ? 0 : e.calls();
+        const double lag = 0.5 + 1.5 * random_.uniform();
+        when(now_ + lag, [this, i, calls, lag] {
+            membership::load_report& it = reported_[i];
+            const std::uint32_t running = std::min(calls, engine_capacity);
+            it = {it.sequence + 1,        running, calls - running, 0, at(now_),
+                  core::from_seconds(lag)};
+        });
+        const auto stored = std::exchange(e.stored, {});
+        const auto evicted = std::exchange(e.evicted, {});
+        const std::uint64_t sequence = ++cache_sequence_[i];
+        // One cache event in six is lost; the others are late.
+        if (random_.below(6) != 0)
+        {
+            when(now_ + 0.5 + 3 * random_.uniform(), [=, this] {
+                for (auto& r : routers_)
+                {
+                    r->cache_event(
+                        core::concat("engine", i), sequence, stored, evicted,
+                        at(now_));
+                }
+            });
+        }
+        when(now_ + 0.5, [this, i] {
+            report(i);
+        });
+    }
+
+    /// Publishes a new view to every VM: full reports of its own region, one
+    /// mean for each other region.
+    void refresh()
+    {
+        std::array<double, regions> sum{};
+        for (std::size_t i = 0; i < engines_.size(); ++i)
+        {
+            sum[i % regions] += reported_[i].running + reported_[i].queued;
+        }
+        for (std::size_t vm = 0; vm < routers_.size(); ++vm)
+        {
+            auto view = std::make_shared<membership::fleet_view>(fleet_);
+            view->self = core::concat("vm", vm);
+            for (auto& [id, it] : view->upstreams)
+            {
+                const std::size_t i = numbers_[id];
+                it.load = reported_[i];
+                if (i % regions != vm % regions)
+                {
+                    it.load.running = static_cast<std::uint32_t>(
+                        sum[i % regions] * regions / d_.engines);
+                    it.load.queued = 0;
+                }
+            }
+            std::erase_if(view->upstreams, [&](const auto& it) {
+                return !listed_ && it.second.region == "r0";
+            });
+            routers_[vm]->update(view, configuration_, at(now_));
+        }
+        when(now_ + 0.5, [this] {
+            refresh();
+        });
+    }
+
+    void submit(const arrival& it, std::set<std::string> tried)
+    {
+        if (now_ - it.time > patience)
+        {
+            return;
+        }
+        const std::size_t vm = it.vm * regions + it.region;
+        routing::routing_request request = it.request;
+        request.excluded = tried;
+        const auto got = routers_[vm]->choose(request, at(now_));
+        if (!got.chosen)
+        {
+            // Admission would hold the call; here it asks again.
+            when(now_ + 0.25, [=, this, &it] {
+                submit(it, {});
+            });
+            return;
+        }
+        const std::size_t i = numbers_[got.decision.upstream];
+        const int region = static_cast<int>(i % regions);
+        const std::uint64_t id = order_;
+        const bool remote = region != it.region;
+        sent& s = calls_[id] = {&it, i, vm, now_, remote, std::move(tried)};
+        double arrives = now_ + 0.001;
+        if (remote)
+        {
+            s.bytes = it.request.prompt_tokens * 5.0;
+            double& busy = link_busy_[{it.region, region}];
+            busy = std::max(busy, now_) + s.bytes / d_.link_bytes_per_second;
+            arrives = busy + far_seconds;
+        }
+        ++chosen_;
+        remote_ += remote ? 1 : 0;
+        when(arrives, [this, id] {
+            arrive(id);
+        });
+    }
+
+    void arrive(std::uint64_t id)
+    {
+        const sent& s = calls_[id];
+        engine& e = engines_[s.engine];
+        if (lost_ && s.engine % regions == 0)
+        {
+            end(id, routing::call_outcome::failed);
+        }
+        else if (e.queue.size() >= 3 * engine_capacity)
+        {
+            end(id, routing::call_outcome::rejected_full);
+        }
+        else
+        {
+            e.add({id, s.source});
+            step(s.engine);
+        }
+    }
+
+    void step(std::size_t i)
+    {
+        engine& e = engines_[i];
+        if (e.stepping || e.calls() == 0)
+        {
+            return;
+        }
+        e.stepping = true;
+        when(now_ + e.begin_step(), [this, i, &e] {
+            e.stepping = false;
+            std::vector<std::uint64_t> done;
+            e.end_step(now_, [&](const engine_call& it) {
+                on_token(it);
+                if (it.generated >= it.source->answer)
+                {
+                    done.push_back(it.id);
+                }
+            });
+            for (const std::uint64_t id : done)
+            {
+                end(id, routing::call_outcome::completed);
+            }
+            step(i);
+        });
+    }
+
+    void on_token(const engine_call& it)
+    {
+        sent& s = calls_[it.id];
+        s.bytes += s.remote ? 180 : 0;
+        if (it.last_token > 0)
+        {
+            gaps_.push_back(now_ - it.last_token);
+            return;
+        }
+        s.first = now_ + (s.remote ? far_seconds : 0.001);
+        const double waited = s.first - it.source->time;
+        if (it.source->time > warm_up)
+        {
+            (it.batch() ? batch_ : interactive_).push_back(waited);
+            by_account_[it.source->account].push_back(waited);
+        }
+    }
+
+    void end(std::uint64_t id, routing::call_outcome outcome)
+    {
+        const sent s = calls_[id];
+        calls_.erase(id);
+        const double first = s.first > 0 ? s.first - s.chosen : 0;
+        const std::string name = core::concat("engine", s.engine);
+        routers_[s.vm]->finished(
+            name, s.source->request,
+            {outcome, core::from_seconds(first),
+             core::from_seconds(now_ - s.chosen), s.source->answer,
+             static_cast<std::uint64_t>(s.bytes)},
+            at(now_));
+        link_bytes_ += s.bytes;
+        if (outcome == routing::call_outcome::completed)
+        {
+            ++completed_;
+            return;
+        }
+        auto tried = s.tried;
+        tried.insert(name);
+        when(now_ + 0.025 * (1 + random_.uniform()), [=, this] {
+            submit(*s.source, tried);
+        });
+    }
+
+    void lose_region()
+    {
+        lost_ = true;
+        std::vector<std::uint64_t> ended;
+        for (std::size_t i = 0; i < engines_.size(); i += regions)
+        {
+            engine& e = engines_[i];
+            for (const auto& it : e.running)
+            {
+                ended.push_back(it.id);
+            }
+            for (const auto& it : e.queue)
+            {
+                ended.push_back(it.id);
+            }
+            const std::uint64_t prefilled = e.prefilled;
+            const bool stepping = e.stepping;
+            e = {};
+            e.prefilled = prefilled;
+            e.stepping = stepping;
+        }
+        for (const std::uint64_t id : ended)
+        {
+            end(id, routing::call_outcome::failed);
+        }
+    }
+
+    void return_region()
+    {
+        lost_ = false;
+        listed_ = true;
+        for (auto& [id, it] : fleet_.upstreams)
+        {
+            it.incarnation += it.region == "r0" ? 1 : 0;
+        }
+    }
+
+    figures summary() const
+    {
+        double prefilled = 0;
+        for (const engine& it : engines_)
+        {
+            prefilled += static_cast<double>(it.prefilled);
+        }
+        double worst = 0;
+        for (const auto& it : by_account_)
+        {
+            worst = std::max(worst, quantile(it, 0.95));
+        }
+        return {
+            quantile(interactive_, 0.5),
+            quantile(interactive_, 0.95),
+            quantile(interactive_, 0.99),
+            quantile(batch_, 0.95),
+            quantile(gaps_, 0.95),
+            worst,
+            remote_ / chosen_,
+            prefilled / 1e6,
+            link_bytes_ / 1e6,
+            1 - completed_ / static_cast<double>(arrivals_.size())};
+    }
+
+    const deployment& d_;
+    const std::vector<arrival>& arrivals_;
+    core::seeded_random random_;
+    std::vector<engine> engines_;
+    std::vector<membership::load_report> reported_; // As the VMs know them.
+    std::vector<std::uint64_t> cache_sequence_;
+    membership::fleet_view fleet_;
+    std::shared_ptr<resource::configuration> configuration_ =
+        std::make_shared<resource::configuration>();
+    std::map<std::string, std::size_t> numbers_;
+    std::vector<std::unique_ptr<core::seeded_random>> vm_random_;
+    std::vector<std::unique_ptr<routing::router>> routers_;
+    std::priority_queue<event> events_;
+    std::uint64_t order_ = 0;
+    double now_ = 0;
+    bool lost_ = false;  // Region 0 has no engines,
+    bool listed_ = true; // and the views show it.
+    std::unordered_map<std::uint64_t, sent> calls_;
+    std::map<std::pair<int, int>, double> link_busy_;
+    std::vector<double> interactive_, batch_, gaps_;
+    std::array<std::vector<double>, 5> by_account_;
+    double link_bytes_ = 0, chosen_ = 0, remote_ = 0, completed_ = 0;
+};
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    const int seeds = argc > 1 ? std::max(1, std::atoi(argv[1])) : 5;
+    const deployment deployments[] = {
+        {"valea", 12, 9, 2e9 / 8, 9.0, {0.55, 0.40, 0.05}},
+        {"ferreira", 9, 6, 110e6 / 8, 3.0, {0.50, 0.20, 0.30}}};
+    const std::pair<const char*, make_router> routers[] = {
+        {"round_robin",
+         [](auto&) {
+             return std::make_unique<routing::round_robin_router>();
+         }},
+        {"least_in_flight",
+         [](auto&) {
+             return std::make_unique<routing::least_in_flight_router>();
+         }},
+        {"expected_time", [](auto& random) {
+             return std::make_unique<routing::expected_time_router>(
+                 routing::expected_time_settings(), random);
+         }}};
+    std::string json;
+    for (const deployment& d : deployments)
+    {
+        std::vector<figures> runs[std::size(routers)];
+        std::printf("\n%s, %d seeds: mean +- half the range\n", d.name, seeds);
+        std::printf("%-26s", "");
+        for (std::size_t r = 0; r < std::size(routers); ++r)
+        {
+            std::printf("%21s", routers[r].first);
+            for (std::uint64_t n = 1; n <= static_cast<unsigned>(seeds); ++n)
+            {
+                const auto arrivals = draw_arrivals(d, n);
+                runs[r].push_back(
+                    simulation(d, arrivals, n, routers[r].second).run());
+            }
+        }
+        for (std::size_t m = 0; m < std::size(measures); ++m)
+        {
+            std::printf("\n%-26s", measures[m]);
+            for (std::size_t r = 0; r < std::size(routers); ++r)
+            {
+                double sum = 0, least = INFINITY, most = -INFINITY;
+                for (const figures& it : runs[r])
+                {
+                    sum += it[m] / seeds;
+                    least = std::min(least, it[m]);
+                    most = std::max(most, it[m]);
+                }
+                const double half = (most - least) / 2;
+                std::printf("%12.4f +- %5.3f", sum, half);
+                json += core::concat(
+                    json.empty() ? "[" : ",\n", R"({"deployment":")", d.name,
+                    R"(","router":")", routers[r].first, R"(","measure":")",
+                    measures[m], R"(","mean":)", sum, R"(,"half_range":)", half,
+                    "}");
+            }
+        }
+        std::printf("\n");
+    }
+    std::printf("\n%s]\n", json.c_str());
+}
