LibRouting: Eject a misreporting upstream only when it is also slow

Change: too low reports are left out of account from a share of 0.25 on; the upstream is ejected from 0.5 on only if its calls are also 1.5 times slower than the group's median. The test row is replaced by three: ejected when both hold, not when only one does, and distrusted before any ejection.

--- a/Libraries/LibRouting/expected_time_router.cpp
+++ b/Libraries/LibRouting/expected_time_router.cpp
@@ -117,10 +117,7 @@
     {
         ejector_.report_checked(*it.health, it.load.understated(), now);
     }
-    // Reports are set aside before they are bad enough for an ejection.
-    it.load.distrust(
-        it.health->understated_share >= settings_.ejector.misreport_rate / 2,
-        sharers_);
+    it.load.distrust(ejector_.distrusted(*it.health), sharers_);
 }
 
 const std::vector<upstream_slot*>&
--- a/Libraries/LibRouting/outlier_ejector.cpp
+++ b/Libraries/LibRouting/outlier_ejector.cpp
@@ -82,7 +82,7 @@
     }
     else if (
         timed && it.timed_calls >= settings_.slow_calls &&
-        is_slow(it, it.slowness))
+        is_slow(it, it.slowness, settings_.slow_factor))
     {
         eject(it, ejection_cause::slow, now);
     }
@@ -95,12 +95,19 @@
     blend(it.understated_share, understated ? 1.0 : 0.0);
     if (it.state == health_state::healthy &&
         it.reports >= settings_.misreport_reports &&
-        it.understated_share >= settings_.misreport_rate)
+        it.understated_share >= settings_.misreport_rate &&
+        it.timed_calls >= settings_.slow_calls &&
+        is_slow(it, it.slowness, settings_.misreport_slow_factor))
     {
         eject(it, ejection_cause::misreporting, now);
     }
 }
 
+bool outlier_ejector::distrusted(const upstream_health& it) const
+{
+    return it.understated_share >= settings_.distrust_rate;
+}
+
 health_state
 outlier_ejector::state(upstream_health& it, core::time_point now) const
 {
@@ -126,7 +133,7 @@
     {
         return false;
     }
-    if (failed || is_slow(it, slowness))
+    if (failed || is_slow(it, slowness, settings_.slow_factor))
     {
         restart(it, now);
         return false;
@@ -205,10 +212,10 @@
     it.until = now + std::min(time, settings_.longest_time);
 }
 
-bool outlier_ejector::is_slow(const upstream_health& it, double slowness) const
+bool outlier_ejector::is_slow(
+    const upstream_health& it, double slowness, double factor) const
 {
-    return slowness - median_slowness(it.group) >
-           std::log(settings_.slow_factor);
+    return slowness - median_slowness(it.group) > std::log(factor);
 }
 
 double outlier_ejector::median_slowness(const std::string& group) const
--- a/Libraries/LibRouting/outlier_ejector.hpp
+++ b/Libraries/LibRouting/outlier_ejector.hpp
@@ -20,7 +20,7 @@
     consecutive_failures,
     error_rate,
     slow,        ///< Against the median of its group.
-    misreporting ///< Its reports count fewer calls than were seen there.
+    misreporting ///< Slow, and its reports count too few calls.
 };
 
 inline constexpr core::enum_table<ejection_cause, 5> ejection_cause_names{
@@ -53,8 +53,13 @@
     /// First token later than predicted, relative to the group's median.
     double slow_factor = 3.0;
     std::uint32_t slow_calls = 10;
-    /// Share of reports that count too few calls.
+    /// Reports are not believed from this share of too low ones on.
+    double distrust_rate = 0.25;
+    /// From this share on, an upstream that is also slow by the lower factor
+    /// is ejected: it has drawn calls that it could not serve. One that is
+    /// not slow stays, because without its reports it does no harm.
     double misreport_rate = 0.5;
+    double misreport_slow_factor = 1.5;
     std::uint32_t misreport_reports = 8;
     core::duration first_time = std::chrono::seconds(10);
     core::duration longest_time = std::chrono::seconds(160);
@@ -107,6 +112,9 @@
     void
     report_checked(upstream_health& it, bool understated, core::time_point now);
 
+    /// Whether its load reports are to be left out of account.
+    bool distrusted(const upstream_health& it) const;
+
     /// Moves it from ejected to probing when its time is over.
     health_state state(upstream_health& it, core::time_point now) const;
 
@@ -128,7 +136,8 @@
     bool has_room(const std::string& group) const;
     void eject(upstream_health& it, ejection_cause cause, core::time_point now);
     void restart(upstream_health& it, core::time_point now);
-    bool is_slow(const upstream_health& it, double slowness) const;
+    bool
+    is_slow(const upstream_health& it, double slowness, double factor) const;
     double median_slowness(const std::string& group) const;
 
     ejector_settings settings_;
--- a/Tests/LibRouting/health_and_ramp.cpp
+++ b/Tests/LibRouting/health_and_ramp.cpp
@@ -85,14 +85,24 @@
              }
          },
          ejection_cause::slow},
-        {"reports that understate its load",
+        {"reports that understate its load, and twice as slow",
          [](auto& e, auto& it) {
-             for (int i = 0; i < 20; ++i)
+             for (int i = 0; i < 60; ++i)
              {
+                 e.call_ended(it, false, true, 0.1 + std::log(2.0), start);
                  e.report_checked(it, true, start);
              }
          },
-         ejection_cause::misreporting}};
+         ejection_cause::misreporting},
+        {"twice as slow with right reports",
+         [](auto& e, auto& it) {
+             for (int i = 0; i < 60; ++i)
+             {
+                 e.call_ended(it, false, true, 0.1 + std::log(2.0), start);
+                 e.report_checked(it, false, start);
+             }
+         },
+         ejection_cause::none}};
     for (const row& it : rows)
     {
         CAPTURE(it.name);
@@ -106,6 +116,23 @@
     }
 }
 
+TEST_CASE("reports that understate are distrusted before any ejection")
+{
+    group_of group(4);
+    upstream_health& it = *group.members[0];
+    CHECK_FALSE(group.ejector.distrusted(it));
+    for (int i = 0; i < 4; ++i)
+    {
+        group.ejector.report_checked(it, true, start);
+    }
+    CHECK(group.ejector.distrusted(it));
+    for (int i = 0; i < 60; ++i)
+    {
+        group.ejector.report_checked(it, true, start);
+    }
+    CHECK_EQ(group.ejector.state(it, start), health_state::healthy);
+}
+
 TEST_CASE("a group that is slow as a whole ejects nobody")
 {
     group_of group(4);
