--- a/Libraries/LibRouting/expected_time.cpp
+++ b/Libraries/LibRouting/expected_time.cpp
@@ -12,9 +12,6 @@
 // the engine passes before its first token.
 constexpr double step_tokens = 64;
 
-// Weight that the sums of pending prefill keep with each call.
-constexpr double pending_decay = 0.99;
-
 // Keeps the logarithm finite for an expected time of zero.
 constexpr double least_seconds = 1e-4;
 
@@ -40,8 +37,8 @@
                                   : (it.calls - capacity + 1) / capacity *
                                         learned.seconds_per_call;
     it.uncached_tokens = std::max(0.0, prompt_tokens - cached_tokens);
-    it.work_tokens = step_tokens + it.uncached_tokens +
-                     s.load.pending_prefill(now) + others_pending(s, now);
+    it.work_tokens =
+        step_tokens + it.uncached_tokens + s.load.pending_prefill(now);
     it.seconds =
         it.network + it.wait +
         it.work_tokens * learned.seconds_per_prompt_token +
@@ -52,16 +49,6 @@
     }
 }
 
-double expected_time::others_pending(
-    const upstream_slot& it, core::time_point now) const
-{
-    if (call_seconds_ <= 0)
-    {
-        return 0;
-    }
-    return it.load.others(now) * pending_token_seconds_ / call_seconds_;
-}
-
 expected_time::lesson expected_time::learn(
     upstream_slot& it, const own_call& call, const call_result& result,
     core::time_point now)
@@ -91,9 +78,6 @@
     }
     if (result.outcome == call_outcome::completed)
     {
-        pending_token_seconds_ = pending_token_seconds_ * pending_decay +
-                                 call.uncached_tokens * std::min(first, total);
-        call_seconds_ = call_seconds_ * pending_decay + total;
         it.rates.observe_call(total, now);
         pooled_.observe_call(total, now);
     }
--- a/Libraries/LibRouting/expected_time.hpp
+++ b/Libraries/LibRouting/expected_time.hpp
@@ -47,15 +47,8 @@
     }
 
 private:
-    /// Prefill tokens of other VMs' calls there.
-    double others_pending(const upstream_slot& it, core::time_point now) const;
-
     expected_time_costs costs_;
     service_rate_estimator pooled_; // All upstreams; the prior of new ones.
-    // Prefill tokens that a call in flight has still before it, averaged over
-    // its life: sums over this VM's calls, as a stand-in for other VMs'.
-    double pending_token_seconds_ = 0;
-    double call_seconds_ = 0;
 };
 
 } // namespace hyssoploft::routing
--- a/Libraries/LibRouting/load_estimate.cpp
+++ b/Libraries/LibRouting/load_estimate.cpp
@@ -85,23 +85,19 @@
 
 double load_estimate::calls(core::time_point now) const
 {
-    return own_in_flight() + others(now);
-}
-
-double load_estimate::others(core::time_point now) const
-{
+    const double own = own_in_flight();
     if (distrusted_)
     {
-        return own_in_flight() * (sharers_ - 1);
+        return own * sharers_;
     }
     if (sequence_ == 0)
     {
-        return 0;
+        return own;
     }
     const double age = std::max(0.0, core::to_seconds(now - measured_));
     const double weight =
         std::exp2(-age / core::to_seconds(settings_.report_half_life));
-    return weight * others_ + (1 - weight) * others_mean_;
+    return own + weight * others_ + (1 - weight) * others_mean_;
 }
 
 double load_estimate::pending_prefill(core::time_point now) const
--- a/Libraries/LibRouting/load_estimate.hpp
+++ b/Libraries/LibRouting/load_estimate.hpp
@@ -71,9 +71,6 @@
 
     double calls(core::time_point now) const;
 
-    /// The part of calls() that is not this VM's own.
-    double others(core::time_point now) const;
-
     std::uint32_t own_in_flight() const
     {
         return static_cast<std::uint32_t>(own_.size());
