--- /dev/null
+++ b/Libraries/LibControl/config_feed.hpp
@@ -0,0 +1,75 @@
+#ifndef HYSSOPLOFT_LIBCONTROL_CONFIG_FEED_HPP
+#define HYSSOPLOFT_LIBCONTROL_CONFIG_FEED_HPP
+
+// The configuration in force at this VM. It comes from the log on a control
+// VM and from any peer that is ahead, and is installed forwards only; a
+// control VM that is cut off from the log still takes what its region has.
+
+#include <LibControl/control_messages.hpp>
+#include <LibResource/configuration_replica.hpp>
+#include <LibResource/resource_store.hpp>
+#include <LibWire/peer_transport.hpp>
+
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace hyssoploft::control {
+
+class config_feed
+{
+public:
+    /// `installed` is called after each change of the version.
+    config_feed(
+        wire::peer_transport& transport, std::function<void()> installed);
+
+    std::shared_ptr<const resource::configuration> current() const
+    {
+        return replica_.current();
+    }
+
+    const resource::configuration& view() const
+    {
+        return replica_.view();
+    }
+
+    std::uint64_t version() const
+    {
+        return replica_.version();
+    }
+
+    const resource::configuration_replica& replica() const
+    {
+        return replica_;
+    }
+
+    /// A peer has a newer version: pulls it, unless a pull runs.
+    void on_newer(const std::string& address, std::uint64_t version);
+
+    /// The log on this VM has applied changes.
+    void on_store(const resource::resource_store& store);
+
+    /// Answers config_pull and config_snapshot requests of peers.
+    void serve(const wire::incoming_message& request);
+
+private:
+    void pull(const std::string& address);
+    void pull_snapshot(const std::string& address, snapshot_pull from);
+    void on_changes(const std::string& address, const config_changes& it);
+    void on_part(const std::string& address, const snapshot_part& it);
+    void install(const absl::Status& status, std::uint64_t before);
+    void serve_changes(const wire::incoming_message& request);
+    void serve_snapshot(const wire::incoming_message& request);
+
+    wire::peer_transport& transport_;
+    std::function<void()> installed_;
+    resource::configuration_replica replica_;
+    bool pulling_ = false;             // At most one pull runs.
+    std::string snapshot_;             // Parts received so far.
+    std::string served_;               // Snapshot that is given out in parts.
+    std::uint64_t served_version_ = 0; // Of served_; 0: none.
+};
+
+} // namespace hyssoploft::control
+
+#endif
--- /dev/null
+++ b/Libraries/LibControl/control_messages.hpp
@@ -0,0 +1,161 @@
+#ifndef HYSSOPLOFT_LIBCONTROL_CONTROL_MESSAGES_HPP
+#define HYSSOPLOFT_LIBCONTROL_CONTROL_MESSAGES_HPP
+
+// Messages of the control thread that belong to no other library.
+
+#include <LibWire/serialization.hpp>
+
+#include <cstdint>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace hyssoploft::control {
+
+/// A control VM introduces its replica to the other control VMs. This is also
+/// how the voters of a new cluster find each other.
+struct replica_hello
+{
+    std::string vm;
+    std::uint64_t replica = 0;
+    bool has_history = false;                ///< Its log is not empty.
+    std::vector<std::string> initial_voters; ///< VMs; as in its settings.
+
+    template <typename Archive>
+    void serialize(Archive& archive)
+    {
+        archive(vm, replica, has_history, initial_voters);
+    }
+};
+
+enum class command_kind : std::uint8_t
+{
+    resources = 1, ///< resource::change_batch
+    ledger = 2,    ///< ledger::command
+    replica = 3    ///< replica_entry
+};
+
+/// A command as the log carries it.
+struct log_command
+{
+    std::uint8_t kind = 0; ///< command_kind
+    std::string body;
+
+    template <typename Archive>
+    void serialize(Archive& archive)
+    {
+        archive(kind, body);
+    }
+};
+
+/// Which VM a replica runs on.
+struct replica_entry
+{
+    std::uint64_t replica = 0;
+    std::string vm;
+
+    template <typename Archive>
+    void serialize(Archive& archive)
+    {
+        archive(replica, vm);
+    }
+};
+
+enum class propose_status : std::uint8_t
+{
+    committed = 0,
+    not_leader = 1, ///< Not in the log; `leader_vm` may name the leader.
+    overloaded = 2, ///< Not in the log.
+    lost = 3        ///< May or may not be in the log.
+};
+
+struct propose_result
+{
+    std::uint8_t status = 0; ///< propose_status
+    std::string leader_vm;   ///< Empty if it is not known.
+    std::string result;      ///< Of the state machine, if committed.
+
+    template <typename Archive>
+    void serialize(Archive& archive)
+    {
+        archive(status, leader_vm, result);
+    }
+};
+
+struct config_pull
+{
+    std::uint64_t from_version = 0;
+
+    template <typename Archive>
+    void serialize(Archive& archive)
+    {
+        archive(from_version);
+    }
+};
+
+/// Changes after the requested version, or one part of a snapshot.
+struct config_changes
+{
+    std::uint64_t version = 0; ///< In force at the sender.
+    std::vector<std::string> events;
+
+    template <typename Archive>
+    void serialize(Archive& archive)
+    {
+        archive(version, events);
+    }
+};
+
+/// Asks for the part of the snapshot that begins at `offset`; version 0 asks
+/// for the sender's newest one.
+struct snapshot_pull
+{
+    std::uint64_t version = 0;
+    std::uint64_t offset = 0;
+
+    template <typename Archive>
+    void serialize(Archive& archive)
+    {
+        archive(version, offset);
+    }
+};
+
+struct snapshot_part
+{
+    std::uint64_t version = 0;
+    std::uint64_t total_bytes = 0;
+    std::uint64_t offset = 0;
+    std::string bytes;
+
+    template <typename Archive>
+    void serialize(Archive& archive)
+    {
+        archive(version, total_bytes, offset, bytes);
+    }
+};
+
+/// An answer of an at-most-once call, to be kept by another VM of the region.
+struct answer_message
+{
+    std::string account;
+    std::string route;
+    std::string key_digest;
+    std::string answer_digest; ///< In a fetch: the one that is wanted.
+    std::string region;        ///< In which the answer may be.
+    std::uint64_t lifetime_ms = 0;
+    std::uint32_t status = 0; ///< 0: no answer.
+    std::vector<std::pair<std::string, std::string>> headers;
+    std::string body;
+
+    template <typename Archive>
+    void serialize(Archive& archive)
+    {
+        archive(
+            account, route, key_digest, answer_digest, region, lifetime_ms,
+            status, headers, body);
+    }
+};
+
+} // namespace hyssoploft::control
+
+#endif
--- /dev/null
+++ b/Libraries/LibControl/control_state_machine.hpp
@@ -0,0 +1,50 @@
+#ifndef HYSSOPLOFT_LIBCONTROL_CONTROL_STATE_MACHINE_HPP
+#define HYSSOPLOFT_LIBCONTROL_CONTROL_STATE_MACHINE_HPP
+
+// The state that the log replicates: resources, execution records, and which
+// VM each replica runs on.
+
+#include <LibConsensus/log_entry.hpp>
+#include <LibConsensus/replicated_state_machine.hpp>
+#include <LibLedger/execution_ledger.hpp>
+#include <LibResource/resource_store.hpp>
+
+#include <map>
+#include <string>
+
+namespace hyssoploft::control {
+
+class control_state_machine final : public consensus::replicated_state_machine
+{
+public:
+    std::string apply(std::uint64_t index, std::string_view command) override;
+    std::string take_snapshot() override;
+    absl::Status install_snapshot(std::string_view bytes) override;
+
+    const resource::resource_store& resources() const
+    {
+        return resources_;
+    }
+
+    const ledger::execution_ledger& records() const
+    {
+        return ledger_;
+    }
+
+    /// VM of each replica that was ever recorded and not removed.
+    const std::map<consensus::replica_id, std::string>& replicas() const
+    {
+        return replicas_;
+    }
+
+private:
+    std::string apply_replica(std::string_view body);
+
+    resource::resource_store resources_;
+    ledger::execution_ledger ledger_;
+    std::map<consensus::replica_id, std::string> replicas_;
+};
+
+} // namespace hyssoploft::control
+
+#endif
--- /dev/null
+++ b/Libraries/LibControl/ledger_service.cpp
@@ -0,0 +1,334 @@
+// Commits execution records and stores answers.
+
+#include <LibControl/ledger_service.hpp>
+
+#include <LibLedger/digests.hpp>
+
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <glog/logging.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace hyssoploft::control {
+
+namespace {
+
+constexpr std::chrono::milliseconds begin_timeout{3000};
+constexpr std::chrono::milliseconds finish_timeout{3000};
+constexpr std::chrono::milliseconds copy_timeout{500};
+/// How long a record that could not be settled is tried again: longer than
+/// the partitions of an hour that are expected.
+constexpr std::chrono::hours settle_time{2};
+constexpr std::chrono::milliseconds settle_attempt{5000};
+constexpr std::size_t max_unsettled = 4096;
+
+using wire::message_type;
+
+answer_message
+to_message(const ledger::record_id& id, const ledger::stored_answer& answer)
+{
+    answer_message out;
+    out.account = id.account;
+    out.route = id.route;
+    out.key_digest = id.key_digest;
+    out.status = answer.status;
+    out.headers = answer.headers;
+    out.body = answer.body;
+    return out;
+}
+
+ledger::record_id id_of(const answer_message& it)
+{
+    return {it.account, it.route, it.key_digest};
+}
+
+} // namespace
+
+struct ledger_service::finish_state
+{
+    ledger::begin_request request;
+    ledger::stored_answer answer;
+    ledger::finish_command command;
+    core::time_point until{};
+    done_handler done; // Empty once it was called.
+};
+
+ledger_service::ledger_service(
+    boost::asio::io_context& control, wire::peer_transport& transport,
+    proposal_client& proposals, fleet_source& fleet, core::clock& clock)
+    : control_(control), transport_(transport), proposals_(proposals),
+      fleet_(fleet), clock_(clock)
+{}
+
+void ledger_service::begin(
+    const ledger::begin_request& request, begin_handler done)
+{
+    boost::asio::post(control_, [this, request, done = std::move(done)] {
+        const auto timeout =
+            std::min<core::duration>(begin_timeout, request.deadline);
+        proposals_.propose(
+            command_kind::ledger,
+            ledger::encode_command(ledger::begin_command{request}), timeout,
+            [done](absl::StatusOr<std::string> result) {
+                if (!result.ok())
+                {
+                    done(result.status(), {});
+                    return;
+                }
+                const auto decoded = ledger::decode_command_result(*result);
+                const bool ok = decoded.ok() &&
+                                decoded->status == ledger::command_status::ok;
+                if (!ok)
+                {
+                    done(absl::UnavailableError("begin was rejected"), {});
+                    return;
+                }
+                done(absl::OkStatus(), decoded->begin);
+            });
+    });
+}
+
+void ledger_service::finish(
+    const ledger::begin_request& request, const ledger::stored_answer& answer,
+    done_handler done)
+{
+    ++unsettled_;
+    boost::asio::post(
+        control_, [this, request, answer, done = std::move(done)]() mutable {
+            const auto it = std::make_shared<finish_state>();
+            it->request = request;
+            it->answer = answer;
+            it->command.id = request.id;
+            it->command.attempt = request.attempt;
+            it->command.owner_vm = request.owner_vm;
+            it->until = clock_.now() + settle_time;
+            it->done = std::move(done);
+            const auto now = clock_.now();
+            const auto kept = answers_.put(
+                request.id, answer, now + request.record_lifetime, now);
+            if (!kept.ok())
+            {
+                LOG(WARNING)
+                    << "answer_not_stored error=\"" << kept.ToString() << "\"";
+                commit_finish(it);
+                return;
+            }
+            it->command.answer_digest = ledger::digest_of_answer(answer);
+            it->command.holders.push_back(request.owner_vm);
+            store_copy(it);
+        });
+}
+
+std::string ledger_service::copy_holder(const std::string& region)
+{
+    const auto fleet = fleet_.fleet_now();
+    std::string best;
+    for (const auto& [id, it] : fleet->vms)
+    {
+        const bool usable = it.region == region && id != fleet->self &&
+                            it.state == membership::vm_state::alive;
+        // A VM in another data centre outlives the loss of this one; one with
+        // a disk comes next.
+        const bool better = best.empty() || it.control;
+        if (usable && better)
+        {
+            best = id;
+        }
+    }
+    return best;
+}
+
+void ledger_service::store_copy(const std::shared_ptr<finish_state>& it)
+{
+    const auto holder = copy_holder(it->request.region);
+    if (holder.empty())
+    {
+        commit_finish(it);
+        return;
+    }
+    auto message = to_message(it->request.id, it->answer);
+    message.region = it->request.region;
+    message.answer_digest = it->command.answer_digest;
+    message.lifetime_ms = static_cast<std::uint64_t>(
+        std::chrono::duration_cast<std::chrono::milliseconds>(
+            it->request.record_lifetime)
+            .count());
+    const auto address = fleet_.fleet_now()->vms.at(holder).peer_address;
+    transport_.request(
+        address, message_type::answer_store, wire::encode(message),
+        copy_timeout,
+        [this, it, holder](absl::StatusOr<wire::incoming_message> answer) {
+            const auto stored =
+                answer.ok() ? wire::decode<answer_message>(answer->payload)
+                            : answer.status();
+            if (stored.ok() && stored->status != 0)
+            {
+                it->command.holders.push_back(holder);
+            }
+            commit_finish(it);
+        });
+}
+
+void ledger_service::commit_finish(const std::shared_ptr<finish_state>& it)
+{
+    proposals_.propose(
+        command_kind::ledger, ledger::encode_command(it->command),
+        it->done ? core::duration(finish_timeout)
+                 : core::duration(settle_attempt),
+        [this, it](absl::StatusOr<std::string> result) {
+            if (it->done)
+            {
+                std::exchange(it->done, nullptr)(result.status());
+            }
+            if (result.ok() || clock_.now() >= it->until ||
+                unsettled_ > max_unsettled)
+            {
+                --unsettled_;
+                return;
+            }
+            commit_finish(it);
+        });
+}
+
+void ledger_service::abandon(const ledger::begin_request& request)
+{
+    ledger::abandon_command command;
+    command.id = request.id;
+    command.attempt = request.attempt;
+    command.owner_vm = request.owner_vm;
+    command.record_lifetime = request.record_lifetime;
+    ++unsettled_;
+    boost::asio::post(
+        control_, [this, encoded = ledger::encode_command(command)] {
+            commit_abandon(encoded, clock_.now() + settle_time);
+        });
+}
+
+void ledger_service::commit_abandon(std::string command, core::time_point until)
+{
+    proposals_.propose(
+        command_kind::ledger, command, settle_attempt,
+        [this, command, until](absl::StatusOr<std::string> result) {
+            const bool over = clock_.now() >= until;
+            if (result.ok() || over || unsettled_ > max_unsettled)
+            {
+                --unsettled_;
+                return;
+            }
+            commit_abandon(command, until);
+        });
+}
+
+void ledger_service::fetch_answer(
+    const ledger::record_id& id, const ledger::begin_result& record,
+    answer_handler done)
+{
+    boost::asio::post(
+        control_, [this, id, record, done = std::move(done)]() mutable {
+            fetch_from(id, record, 0, std::move(done));
+        });
+}
+
+void ledger_service::fetch_from(
+    const ledger::record_id& id, const ledger::begin_result& record,
+    std::size_t holder, answer_handler done)
+{
+    if (const auto* own = answers_.find(id, record.answer_digest, clock_.now()))
+    {
+        done(absl::OkStatus(), *own);
+        return;
+    }
+    if (holder >= record.holders.size())
+    {
+        done(absl::NotFoundError("no VM holds the answer"), {});
+        return;
+    }
+    const auto fleet = fleet_.fleet_now();
+    const auto vm = fleet->vms.find(record.holders[holder]);
+    if (vm == fleet->vms.end() || vm->first == fleet->self)
+    {
+        fetch_from(id, record, holder + 1, std::move(done));
+        return;
+    }
+    answer_message wanted = to_message(id, {});
+    wanted.answer_digest = record.answer_digest;
+    transport_.request(
+        vm->second.peer_address, message_type::answer_fetch,
+        wire::encode(wanted), copy_timeout,
+        [this, id, record, holder, done = std::move(done)](
+            absl::StatusOr<wire::incoming_message> answer) {
+            const auto found =
+                answer.ok() ? wire::decode<answer_message>(answer->payload)
+                            : answer.status();
+            ledger::stored_answer out;
+            if (found.ok() && found->status != 0)
+            {
+                out = {found->status, found->headers, found->body};
+                if (ledger::digest_of_answer(out) == record.answer_digest)
+                {
+                    done(absl::OkStatus(), std::move(out));
+                    return;
+                }
+            }
+            fetch_from(id, record, holder + 1, done);
+        });
+}
+
+void ledger_service::serve(const wire::incoming_message& request)
+{
+    if (request.type == message_type::answer_store)
+    {
+        serve_store(request);
+        return;
+    }
+    serve_fetch(request);
+}
+
+void ledger_service::serve_store(const wire::incoming_message& request)
+{
+    const auto it = wire::decode<answer_message>(request.payload);
+    if (!it.ok())
+    {
+        return;
+    }
+    const auto fleet = fleet_.fleet_now();
+    const auto self = fleet->vms.find(fleet->self);
+    // The answer may only be kept in the region that the request names.
+    const bool allowed =
+        self != fleet->vms.end() && self->second.region == it->region;
+    answer_message out;
+    if (allowed)
+    {
+        const auto now = clock_.now();
+        const auto status = answers_.put(
+            id_of(*it), {it->status, it->headers, it->body},
+            now + std::chrono::milliseconds(it->lifetime_ms), now);
+        out.status = status.ok() ? it->status : 0;
+    }
+    (void)transport_.respond(
+        request.reply, message_type::answer_result, wire::encode(out));
+}
+
+void ledger_service::serve_fetch(const wire::incoming_message& request)
+{
+    const auto it = wire::decode<answer_message>(request.payload);
+    if (!it.ok())
+    {
+        return;
+    }
+    const auto* found =
+        answers_.find(id_of(*it), it->answer_digest, clock_.now());
+    (void)transport_.respond(
+        request.reply, message_type::answer_result,
+        wire::encode(
+            found ? to_message(id_of(*it), *found) : answer_message{}));
+}
+
+void ledger_service::expire()
+{
+    answers_.expire(clock_.now());
+}
+
+} // namespace hyssoploft::control
--- /dev/null
+++ b/Libraries/LibControl/proposal_client.cpp
@@ -0,0 +1,178 @@
+// Finds the leader and resends commands.
+
+#include <LibControl/proposal_client.hpp>
+
+#include <boost/asio/steady_timer.hpp>
+
+#include <algorithm>
+#include <utility>
+#include <vector>
+
+namespace hyssoploft::control {
+
+namespace {
+
+/// Longer than a commit over two region links, shorter than an election.
+constexpr std::chrono::milliseconds attempt_timeout{1000};
+constexpr std::chrono::milliseconds retry_pause{100};
+
+} // namespace
+
+struct proposal_client::attempt_state
+{
+    command_kind kind;
+    std::string body;
+    core::time_point deadline;
+    result_handler done;
+    bool maybe_logged = false; // An earlier try may have reached the log.
+    boost::asio::steady_timer pause;
+};
+
+proposal_client::proposal_client(
+    boost::asio::io_context& control, wire::peer_transport& transport,
+    fleet_source& fleet, replica_driver* replica, core::clock& clock)
+    : control_(control), transport_(transport), fleet_(fleet),
+      replica_(replica), clock_(clock)
+{}
+
+void proposal_client::propose(
+    command_kind kind, std::string body, core::duration timeout,
+    result_handler done)
+{
+    try_once(std::make_shared<attempt_state>(attempt_state{
+        kind, std::move(body), clock_.now() + timeout, std::move(done), false,
+        boost::asio::steady_timer(control_)}));
+}
+
+void proposal_client::set_leader(const std::string& vm)
+{
+    leader_vm_ = vm;
+}
+
+std::string proposal_client::leader_vm() const
+{
+    const auto own = replica_ ? replica_->leader_vm() : std::string();
+    return own.empty() ? leader_vm_ : own;
+}
+
+std::string proposal_client::leader_address()
+{
+    const auto fleet = fleet_.fleet_now();
+    const auto leader = leader_vm();
+    if (leader == fleet->self && replica_ && replica_->is_leader())
+    {
+        return {};
+    }
+    const auto found = fleet->vms.find(leader);
+    const bool usable = found != fleet->vms.end() && leader != fleet->self &&
+                        found->second.state != membership::vm_state::dead;
+    return usable ? found->second.peer_address : next_control_address();
+}
+
+std::string proposal_client::next_control_address()
+{
+    const auto fleet = fleet_.fleet_now();
+    std::vector<std::string> addresses;
+    for (const auto& [id, it] : fleet->vms)
+    {
+        const bool usable = it.control && id != fleet->self &&
+                            it.state != membership::vm_state::dead;
+        if (usable)
+        {
+            addresses.push_back(it.peer_address);
+        }
+    }
+    return addresses.empty() ? std::string()
+                             : addresses[next_control_++ % addresses.size()];
+}
+
+void proposal_client::try_once(const std::shared_ptr<attempt_state>& it)
+{
+    const auto now = clock_.now();
+    if (now >= it->deadline)
+    {
+        give_up(it);
+        return;
+    }
+    if (replica_ && replica_->is_leader())
+    {
+        replica_->propose(it->kind, it->body, [this, it](propose_result out) {
+            on_result(it, out);
+        });
+        return;
+    }
+    const auto address = leader_address();
+    if (address.empty())
+    {
+        try_later(it);
+        return;
+    }
+    const auto payload = wire::encode(
+        log_command{static_cast<std::uint8_t>(it->kind), it->body});
+    const auto timeout =
+        std::min<core::duration>(attempt_timeout, it->deadline - now);
+    transport_.request(
+        address, wire::message_type::propose, payload, timeout,
+        [this, it](absl::StatusOr<wire::incoming_message> answer) {
+            const auto decoded =
+                answer.ok() ? wire::decode<propose_result>(answer->payload)
+                            : answer.status();
+            if (!decoded.ok())
+            {
+                it->maybe_logged = true;
+                leader_vm_.clear();
+                try_later(it);
+                return;
+            }
+            on_result(it, *decoded);
+        });
+}
+
+void proposal_client::on_result(
+    const std::shared_ptr<attempt_state>& it, const propose_result& result)
+{
+    switch (static_cast<propose_status>(result.status))
+    {
+    case propose_status::committed:
+        if (!result.leader_vm.empty())
+        {
+            leader_vm_ = result.leader_vm;
+        }
+        it->done(result.result);
+        return;
+    case propose_status::lost:
+        it->maybe_logged = true;
+        break;
+    case propose_status::not_leader:
+    case propose_status::overloaded:
+        break;
+    }
+    leader_vm_ = result.leader_vm;
+    try_later(it);
+}
+
+void proposal_client::try_later(const std::shared_ptr<attempt_state>& it)
+{
+    it->pause.expires_after(retry_pause);
+    it->pause.async_wait([this, it](const boost::system::error_code& ec) {
+        if (!ec)
+        {
+            try_once(it);
+        }
+    });
+}
+
+void proposal_client::give_up(const std::shared_ptr<attempt_state>& it)
+{
+    if (it->maybe_logged)
+    {
+        it->done(absl::DeadlineExceededError(
+            "the command may or may not be committed"));
+        return;
+    }
+    it->done(absl::UnavailableError(
+        "no leader of the log could be reached; the command is not in the "
+        "log"));
+}
+
+} // namespace hyssoploft::control
--- /dev/null
+++ b/Libraries/LibControl/replica_driver.cpp
@@ -0,0 +1,405 @@
+// Drives the consensus node of a control VM.
+
+#include <LibControl/replica_driver.hpp>
+
+#include <LibCore/log_line.hpp>
+
+#include <boost/asio/post.hpp>
+#include <glog/logging.h>
+
+#include <utility>
+
+namespace hyssoploft::control {
+
+namespace {
+
+using consensus::entry_kind;
+using consensus::replica_role;
+
+/// Entries between two snapshots. At 60 orders a second this is about a
+/// minute's worth, and a replay takes well below a second.
+constexpr std::uint64_t entries_per_snapshot = 8192;
+constexpr std::chrono::milliseconds member_check_interval{500};
+/// Records of orders expire by log time; this is its grain without traffic.
+constexpr std::chrono::seconds log_tick_interval{30};
+constexpr std::size_t max_pending_proposals = 8192;
+
+} // namespace
+
+absl::StatusOr<std::unique_ptr<replica_driver>> replica_driver::create(
+    boost::asio::io_context& control, const replica_options& options,
+    replica_environment& environment, core::clock& clock,
+    core::random_source& random)
+{
+    std::unique_ptr<replica_driver> it(
+        new replica_driver(control, options, environment, clock));
+    consensus::persisted_state found;
+    auto opened = consensus::file_log_storage::open(
+        it->files_, options.data_dir, random, found);
+    if (!opened.ok())
+    {
+        return opened.status();
+    }
+    it->storage_ = *std::move(opened);
+    const bool has_history = found.base.has_value();
+    const replica_hello self{
+        options.vm, found.self, has_history, options.initial_voters};
+    it->roster_ = replica_roster(self, clock.now());
+    if (has_history)
+    {
+        const auto status = it->state_.install_snapshot(*found.base->bytes);
+        if (!status.ok())
+        {
+            return status;
+        }
+        it->applied_index_ = found.base->last.index;
+    }
+    auto node = consensus::consensus_node::create(
+        {}, std::move(found), random, clock.now());
+    if (!node.ok())
+    {
+        return node.status();
+    }
+    it->node_ = *std::move(node);
+    LOG(INFO) << core::log_line("replica_opened")
+                     .with("replica", it->node_->self())
+                     .with("term", it->node_->term())
+                     .with("last_index", it->node_->last().index);
+    return it;
+}
+
+replica_driver::replica_driver(
+    boost::asio::io_context& control, const replica_options& options,
+    replica_environment& environment, core::clock& clock)
+    : control_(control), options_(options), environment_(environment),
+      clock_(clock), roster_({}, clock.now())
+{}
+
+replica_driver::~replica_driver()
+{
+    *alive_ = false;
+    disk_.join();
+}
+
+void replica_driver::tick()
+{
+    const auto now = clock_.now();
+    node_->tick(now);
+    pump();
+    if (now >= next_member_check_)
+    {
+        next_member_check_ = now + member_check_interval;
+        found_cluster();
+        change_members();
+    }
+    advance_log_time();
+    compact_if_large();
+}
+
+void replica_driver::on_message(
+    const std::string& sender_vm, const std::string& bytes)
+{
+    const auto decoded = wire::decode<consensus::message>(bytes);
+    if (!decoded.ok() || decoded->to != node_->self())
+    {
+        return;
+    }
+    // A VM may only speak for the replica that runs on it.
+    const auto vm = roster_.vm_of(decoded->from, state_.replicas());
+    if (!vm.empty() && vm != sender_vm)
+    {
+        LOG(WARNING) << core::log_line("consensus_message_rejected")
+                            .with("sender", sender_vm)
+                            .with("replica_vm", vm);
+        return;
+    }
+    node_->receive(*decoded, clock_.now());
+    pump();
+}
+
+void replica_driver::on_hello(const replica_hello& it)
+{
+    roster_.on_hello(it, clock_.now());
+}
+
+void replica_driver::propose(
+    command_kind kind, std::string body, propose_handler done)
+{
+    // Ledger commands need log time, which a new leader has only once it has
+    // applied the entries of earlier terms.
+    const bool ready = kind != command_kind::ledger || log_clock_.has_value();
+    if (!is_leader() || !ready)
+    {
+        done(
+            {static_cast<std::uint8_t>(propose_status::not_leader), leader_vm(),
+             ""});
+        return;
+    }
+    if (pending_.size() >= max_pending_proposals)
+    {
+        done(
+            {static_cast<std::uint8_t>(propose_status::overloaded), options_.vm,
+             ""});
+        return;
+    }
+    if (kind == command_kind::ledger)
+    {
+        body = ledger::stamp(std::move(body), log_clock_->at(clock_.now()));
+    }
+    const auto position = node_->propose(wire::encode(
+        log_command{static_cast<std::uint8_t>(kind), std::move(body)}));
+    if (!position.ok())
+    {
+        const auto status = absl::IsResourceExhausted(position.status())
+                                ? propose_status::overloaded
+                                : propose_status::not_leader;
+        done({static_cast<std::uint8_t>(status), "", ""});
+        return;
+    }
+    pending_[position->index] = {position->term, std::move(done)};
+    pump();
+}
+
+void replica_driver::hand_over()
+{
+    if (!is_leader())
+    {
+        return;
+    }
+    // The voter that has synced most: the transfer then takes one round trip.
+    for (const auto voter : node_->members().voters)
+    {
+        if (voter != node_->self() && node_->transfer_leadership(voter).ok())
+        {
+            break;
+        }
+    }
+    pump();
+}
+
+std::string replica_driver::leader_vm() const
+{
+    return node_->leader() == 0
+               ? std::string()
+               : roster_.vm_of(node_->leader(), state_.replicas());
+}
+
+void replica_driver::pump()
+{
+    // Handlers may propose again; the outer call takes their output.
+    if (std::exchange(pumping_, true))
+    {
+        return;
+    }
+    for (;;)
+    {
+        auto out = node_->take_output();
+        const bool idle = out.messages.empty() && !out.persist &&
+                          !out.install && out.committed.empty() &&
+                          out.roles.empty();
+        if (idle)
+        {
+            break;
+        }
+        if (out.install)
+        {
+            const auto status = state_.install_snapshot(*out.install->bytes);
+            if (!status.ok())
+            {
+                environment_.storage_failed(status);
+                break;
+            }
+            applied_index_ = out.install->last.index;
+            environment_.resources_changed();
+        }
+        if (out.persist)
+        {
+            roster_.set_has_history(!node_->members().voters.empty());
+            persist(*std::move(out.persist));
+        }
+        for (const auto& it : out.messages)
+        {
+            const auto vm = roster_.vm_of(it.to, state_.replicas());
+            if (!vm.empty())
+            {
+                environment_.send_consensus(vm, wire::encode(it));
+            }
+        }
+        for (const auto& it : out.roles)
+        {
+            follow_role(it);
+        }
+        for (const auto& it : out.committed)
+        {
+            apply(it);
+        }
+    }
+    pumping_ = false;
+}
+
+void replica_driver::persist(consensus::persist_batch batch)
+{
+    boost::asio::post(
+        disk_, [this, alive = alive_, batch = std::move(batch)]() {
+            auto status = storage_->persist(batch);
+            boost::asio::post(
+                control_, [this, alive, status = std::move(status),
+                           sequence = batch.sequence] {
+                    if (!*alive)
+                    {
+                        return;
+                    }
+                    if (!status.ok())
+                    {
+                        environment_.storage_failed(status);
+                        return;
+                    }
+                    node_->persisted(sequence, clock_.now());
+                    pump();
+                });
+        });
+}
+
+void replica_driver::apply(const consensus::log_entry& entry)
+{
+    std::string result;
+    if (entry.kind == entry_kind::command)
+    {
+        const auto before = state_.resources().version();
+        result = state_.apply(entry.position.index, entry.bytes);
+        if (state_.resources().version() != before)
+        {
+            environment_.resources_changed();
+        }
+    }
+    applied_index_ = entry.position.index;
+    // The first entry of this replica's term: everything before it is applied.
+    if (entry.position.term == leading_term_ && !log_clock_)
+    {
+        log_clock_.emplace(state_.records().time(), clock_.now());
+    }
+    const auto found = pending_.find(entry.position.index);
+    if (found == pending_.end())
+    {
+        return;
+    }
+    const auto proposal = std::move(found->second);
+    pending_.erase(found);
+    const bool own = proposal.term == entry.position.term;
+    proposal.done(
+        {static_cast<std::uint8_t>(
+             own ? propose_status::committed : propose_status::not_leader),
+         leader_vm(), own ? std::move(result) : std::string()});
+}
+
+void replica_driver::follow_role(const consensus::role_change& change)
+{
+    const bool leads = change.role == replica_role::leader;
+    if (leads)
+    {
+        leading_term_ = change.term;
+    }
+    else if (leading_term_ != 0)
+    {
+        leading_term_ = 0;
+        fail_pending(propose_status::lost);
+    }
+    log_clock_.reset();
+    LOG(INFO) << core::log_line("role_changed")
+                     .with(
+                         "role",
+                         std::string(core::name_of(
+                             consensus::replica_role_names, change.role)))
+                     .with("term", change.term);
+    environment_.role_changed(leads, change.term);
+}
+
+void replica_driver::fail_pending(propose_status status)
+{
+    auto pending = std::exchange(pending_, {});
+    for (auto& [index, it] : pending)
+    {
+        it.done({static_cast<std::uint8_t>(status), "", ""});
+    }
+}
+
+void replica_driver::found_cluster()
+{
+    const auto voters = roster_.founding_voters(clock_.now());
+    if (!voters)
+    {
+        return;
+    }
+    const auto status = node_->bootstrap(*voters);
+    LOG(INFO) << core::log_line("cluster_founded")
+                     .with("voters", voters->size())
+                     .with("status", status.ToString());
+    pump();
+}
+
+void replica_driver::change_members()
+{
+    if (leading_term_ == 0 || !log_clock_)
+    {
+        return;
+    }
+    const auto now = clock_.now();
+    for (const auto& it : roster_.unrecorded(state_.replicas(), now))
+    {
+        propose(command_kind::replica, wire::encode(it), [](const auto&) {});
+    }
+    const auto change = roster_.next_change(
+        node_->members(), state_.replicas(),
+        [this](consensus::replica_id id) {
+            return node_->is_caught_up(id);
+        },
+        now);
+    if (!change)
+    {
+        return;
+    }
+    const auto position = node_->change_membership(*change);
+    if (position.ok())
+    {
+        LOG(INFO) << core::log_line("membership_change")
+                         .with(
+                             "kind", std::string(core::name_of(
+                                         consensus::membership_change_names,
+                                         change->kind)))
+                         .with("replica", change->replica);
+        pump();
+    }
+}
+
+void replica_driver::advance_log_time()
+{
+    const auto now = clock_.now();
+    if (!log_clock_ || now < next_log_tick_)
+    {
+        return;
+    }
+    next_log_tick_ = now + log_tick_interval;
+    if (state_.records().size() > 0)
+    {
+        propose(
+            command_kind::ledger,
+            ledger::encode_command(ledger::tick_command{}), [](const auto&) {});
+    }
+}
+
+void replica_driver::compact_if_large()
+{
+    if (applied_index_ < node_->base().index + entries_per_snapshot)
+    {
+        return;
+    }
+    const auto status = node_->compact(applied_index_, state_.take_snapshot());
+    if (!status.ok())
+    {
+        LOG(ERROR) << "compaction_failed error=\"" << status.ToString() << "\"";
+        return;
+    }
+    pump();
+}
+
+} // namespace hyssoploft::control
--- /dev/null
+++ b/Libraries/LibControl/replica_driver.hpp
@@ -0,0 +1,146 @@
+#ifndef HYSSOPLOFT_LIBCONTROL_REPLICA_DRIVER_HPP
+#define HYSSOPLOFT_LIBCONTROL_REPLICA_DRIVER_HPP
+
+// Runs the replica of a control VM: feeds the consensus node, syncs on a
+// thread of its own, applies committed entries and answers proposers. All
+// calls come from the control thread.
+
+#include <LibConsensus/consensus_node.hpp>
+#include <LibConsensus/file_log_storage.hpp>
+#include <LibControl/control_messages.hpp>
+#include <LibControl/control_state_machine.hpp>
+#include <LibControl/replica_roster.hpp>
+#include <LibCore/clock.hpp>
+#include <LibLedger/log_clock.hpp>
+#include <LibStorage/posix_file_system.hpp>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/thread_pool.hpp>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace hyssoploft::control {
+
+struct replica_options
+{
+    std::string vm;
+    std::string data_dir;
+    std::vector<std::string> initial_voters; ///< VMs of a new cluster.
+};
+
+/// What the driver needs of its owner.
+class replica_environment
+{
+public:
+    virtual ~replica_environment() = default;
+
+    virtual void
+    send_consensus(const std::string& vm, const std::string& bytes) = 0;
+
+    /// A committed entry changed the resources.
+    virtual void resources_changed() = 0;
+
+    virtual void role_changed(bool leader, std::uint64_t term) = 0;
+
+    /// The disk failed: the process has to end.
+    virtual void storage_failed(const absl::Status& status) = 0;
+};
+
+using propose_handler = std::function<void(propose_result)>;
+
+class replica_driver
+{
+public:
+    /// Reads the data directory. Errors as file_log_storage::open().
+    static absl::StatusOr<std::unique_ptr<replica_driver>> create(
+        boost::asio::io_context& control, const replica_options& options,
+        replica_environment& environment, core::clock& clock,
+        core::random_source& random);
+
+    /// Waits for a running sync.
+    ~replica_driver();
+
+    /// Call at least every 50 ms.
+    void tick();
+
+    void on_message(const std::string& sender_vm, const std::string& bytes);
+    void on_hello(const replica_hello& it);
+
+    const replica_hello& hello() const
+    {
+        return roster_.self();
+    }
+
+    /// Adds a command; `done` is called once.
+    void propose(command_kind kind, std::string body, propose_handler done);
+
+    /// Hands leadership to another voter that is up to date, if this replica
+    /// leads.
+    void hand_over();
+
+    bool is_leader() const
+    {
+        return node_->role() == consensus::replica_role::leader;
+    }
+
+    /// Empty if no leader is known.
+    std::string leader_vm() const;
+
+    const consensus::consensus_node& node() const
+    {
+        return *node_;
+    }
+
+    const control_state_machine& state() const
+    {
+        return state_;
+    }
+
+private:
+    struct pending_proposal
+    {
+        std::uint64_t term = 0;
+        propose_handler done;
+    };
+
+    replica_driver(
+        boost::asio::io_context& control, const replica_options& options,
+        replica_environment& environment, core::clock& clock);
+
+    void pump();
+    void persist(consensus::persist_batch batch);
+    void apply(const consensus::log_entry& entry);
+    void follow_role(const consensus::role_change& change);
+    void fail_pending(propose_status status);
+    void found_cluster();
+    void change_members();
+    void compact_if_large();
+    void advance_log_time();
+
+    boost::asio::io_context& control_;
+    const replica_options options_;
+    replica_environment& environment_;
+    core::clock& clock_;
+    storage::posix_file_system files_;
+    std::unique_ptr<consensus::file_log_storage> storage_; // Disk thread only.
+    std::unique_ptr<consensus::consensus_node> node_;
+    control_state_machine state_;
+    replica_roster roster_;
+    std::map<std::uint64_t, pending_proposal> pending_; // By log index.
+    std::optional<ledger::log_clock> log_clock_; // While this replica leads.
+    std::uint64_t applied_index_ = 0;
+    std::uint64_t leading_term_ = 0; // 0: this replica does not lead.
+    core::time_point next_member_check_{};
+    core::time_point next_log_tick_{};
+    bool pumping_ = false;
+    std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+    boost::asio::thread_pool disk_{1};
+};
+
+} // namespace hyssoploft::control
+
+#endif
--- /dev/null
+++ b/Libraries/LibControl/replica_roster.cpp
@@ -0,0 +1,165 @@
+// Decides on founding a cluster and on replacing replicas.
+
+#include <LibControl/replica_roster.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace hyssoploft::control {
+
+namespace {
+
+using consensus::membership_change_kind;
+
+} // namespace
+
+replica_roster::replica_roster(replica_hello self, core::time_point now)
+    : self_(std::move(self))
+{
+    std::sort(self_.initial_voters.begin(), self_.initial_voters.end());
+    by_vm_[self_.vm] = {self_, now};
+}
+
+void replica_roster::set_has_history(bool has_history)
+{
+    self_.has_history = has_history;
+    by_vm_[self_.vm].hello = self_;
+}
+
+void replica_roster::on_hello(const replica_hello& it, core::time_point now)
+{
+    if (it.vm != self_.vm && it.replica != 0)
+    {
+        by_vm_[it.vm] = {it, now};
+    }
+}
+
+bool replica_roster::is_fresh(const heard_hello& it, core::time_point now) const
+{
+    return it.hello.vm == self_.vm || now - it.at <= hello_lifetime;
+}
+
+std::optional<std::vector<consensus::replica_id>>
+replica_roster::founding_voters(core::time_point now) const
+{
+    const auto& declared = self_.initial_voters;
+    const bool member =
+        std::binary_search(declared.begin(), declared.end(), self_.vm);
+    if (self_.has_history || !member)
+    {
+        return std::nullopt;
+    }
+    std::vector<consensus::replica_id> out;
+    for (const auto& vm : declared)
+    {
+        const auto found = by_vm_.find(vm);
+        if (found == by_vm_.end() || !is_fresh(found->second, now))
+        {
+            return std::nullopt;
+        }
+        const auto& hello = found->second.hello;
+        if (hello.has_history || hello.initial_voters != declared)
+        {
+            return std::nullopt;
+        }
+        out.push_back(hello.replica);
+    }
+    std::sort(out.begin(), out.end());
+    return out;
+}
+
+std::string replica_roster::vm_of(
+    consensus::replica_id id,
+    const std::map<consensus::replica_id, std::string>& recorded) const
+{
+    for (const auto& [vm, it] : by_vm_)
+    {
+        if (it.hello.replica == id)
+        {
+            return vm;
+        }
+    }
+    const auto found = recorded.find(id);
+    return found == recorded.end() ? std::string() : found->second;
+}
+
+std::vector<replica_entry> replica_roster::unrecorded(
+    const std::map<consensus::replica_id, std::string>& recorded,
+    core::time_point now) const
+{
+    std::vector<replica_entry> out;
+    for (const auto& [vm, it] : by_vm_)
+    {
+        if (is_fresh(it, now) && !recorded.contains(it.hello.replica))
+        {
+            out.push_back({it.hello.replica, vm});
+        }
+    }
+    return out;
+}
+
+std::optional<consensus::replica_id> replica_roster::replaced_voter(
+    const consensus::membership& members,
+    const std::map<consensus::replica_id, std::string>& recorded,
+    core::time_point now) const
+{
+    for (const auto voter : members.voters)
+    {
+        const auto vm = recorded.find(voter);
+        if (vm == recorded.end())
+        {
+            continue;
+        }
+        const auto current = by_vm_.find(vm->second);
+        const bool replaced = current != by_vm_.end() &&
+                              is_fresh(current->second, now) &&
+                              current->second.hello.replica != voter &&
+                              members.is_voter(current->second.hello.replica);
+        if (replaced)
+        {
+            return voter;
+        }
+    }
+    return std::nullopt;
+}
+
+std::optional<consensus::membership_change> replica_roster::next_change(
+    const consensus::membership& members,
+    const std::map<consensus::replica_id, std::string>& recorded,
+    const std::function<bool(consensus::replica_id)>& is_caught_up,
+    core::time_point now) const
+{
+    if (const auto voter = replaced_voter(members, recorded, now))
+    {
+        return consensus::membership_change{
+            membership_change_kind::remove, *voter};
+    }
+    for (const auto& [vm, it] : by_vm_)
+    {
+        const auto id = it.hello.replica;
+        if (!is_fresh(it, now) || members.is_voter(id))
+        {
+            continue;
+        }
+        // A replica is recorded first, so that every later leader knows the
+        // one that it replaces.
+        if (!recorded.contains(id))
+        {
+            continue;
+        }
+        if (!members.is_learner(id))
+        {
+            return consensus::membership_change{
+                membership_change_kind::add_learner, id};
+        }
+        // One more voter than the maximum is allowed while one is replaced.
+        if (members.voters.size() <= max_voters && is_caught_up(id))
+        {
+            return consensus::membership_change{
+                membership_change_kind::promote, id};
+        }
+    }
+    return std::nullopt;
+}
+
+} // namespace hyssoploft::control
--- a/Libraries/LibWire/message_type.hpp
+++ b/Libraries/LibWire/message_type.hpp
@@ -28,10 +28,11 @@
     answer_fetch = 15,
     answer_result = 16,
     in_force_report = 17,
-    drain = 18
+    drain = 18,
+    replica_hello = 19
 };
 
-inline constexpr core::enum_table<message_type, 18> message_type_names{
+inline constexpr core::enum_table<message_type, 19> message_type_names{
     {{message_type::hello, "hello"},
      {message_type::ping, "ping"},
      {message_type::ack, "ack"},
@@ -49,7 +50,8 @@
      {message_type::answer_fetch, "answer_fetch"},
      {message_type::answer_result, "answer_result"},
      {message_type::in_force_report, "in_force_report"},
-     {message_type::drain, "drain"}}};
+     {message_type::drain, "drain"},
+     {message_type::replica_hello, "replica_hello"}}};
 
 } // namespace hyssoploft::wire
 
