LibLedger: Keep a hash in place of each record's identifier

Cause: a record took 896 bytes, so that 65,536 records needed 56 MiB of the 64 MB that control may cost a node.

Conclusion: a full ledger takes about 18 MB.

--- a/Libraries/LibLedger/execution_ledger.cpp
+++ b/Libraries/LibLedger/execution_ledger.cpp
@@ -4,7 +4,9 @@
 
 #include <LibCore/bounded_archive.hpp>
 #include <LibCore/keyed_hash.hpp>
+#include <LibCore/text.hpp>
 
+#include <cereal/types/array.hpp>
 #include <cereal/types/map.hpp>
 #include <cereal/types/string.hpp>
 #include <cereal/types/utility.hpp>
@@ -49,6 +51,13 @@
     return it;
 }
 
+core::digest key_of(const record_id& it)
+{
+    return core::sha256(core::concat(
+        it.account.size(), ":", it.account, it.route.size(), ":", it.route,
+        it.key_digest));
+}
+
 /// Rounded up, so that a record never ends early.
 log_time to_log_time(core::duration it)
 {
@@ -58,21 +67,11 @@
 
 } // namespace
 
-template <typename Archive>
-void serialize(Archive& ar, record_id& it)
-{
-    ar(it.account, it.route, it.key_digest);
-}
-
 template <typename Archive>
 void serialize(Archive& ar, execution_record& it)
 {
-    for (auto& byte : it.body)
-    {
-        ar(byte);
-    }
-    ar(it.attempt, it.owner_vm, it.state, it.deadline, it.expires, it.lifetime,
-       it.answer_digest, it.holders);
+    ar(it.body, it.attempt, it.owner_vm, it.state, it.deadline, it.expires,
+       it.lifetime, it.answer_digest, it.holders);
 }
 
 std::string execution_ledger::apply(std::string_view encoded)
@@ -106,7 +105,7 @@
         result.begin = repeat(*at, request);
         return result;
     }
-    if (abandoned_.contains({request.id, request.attempt}))
+    if (abandoned_.contains({key_of(request.id), request.attempt}))
     {
         // Its VM has given up on it and told its caller "not run".
         result.begin.outcome = begin_outcome::unknown;
@@ -124,7 +123,7 @@
     record.deadline = time_ + to_log_time(request.deadline);
     record.lifetime = to_log_time(request.record_lifetime);
     record.expires = std::max(record.deadline, time_ + record.lifetime);
-    add_record(request.id, std::move(record));
+    add_record(key_of(request.id), std::move(record));
     result.begin.outcome = begin_outcome::created;
     return result;
 }
@@ -165,7 +164,8 @@
     {
         return {};
     }
-    const auto at = records_.find(it.id);
+    const auto key = key_of(it.id);
+    const auto at = records_.find(key);
     if (at == records_.end())
     {
         return {command_status::no_record, {}};
@@ -189,9 +189,9 @@
         record.answer_digest = it.answer_digest;
         record.holders = it.holders;
     }
-    expiries_.erase({record.expires, it.id});
+    expiries_.erase({record.expires, key});
     record.expires = std::max(record.expires, time_ + record.lifetime);
-    expiries_.emplace(record.expires, it.id);
+    expiries_.emplace(record.expires, key);
     return {command_status::ok, {}};
 }
 
@@ -202,7 +202,8 @@
     {
         return {};
     }
-    const auto at = records_.find(it.id);
+    const auto key = key_of(it.id);
+    const auto at = records_.find(key);
     if (at != records_.end() && at->second.attempt == it.attempt)
     {
         if (at->second.owner_vm != it.owner_vm)
@@ -213,9 +214,9 @@
         {
             return {command_status::already_sent, {}};
         }
-        remove_record(it.id);
+        remove_record(key);
     }
-    add_abandoned({it.id, it.attempt}, time_ + to_log_time(it.record_lifetime));
+    add_abandoned({key, it.attempt}, time_ + to_log_time(it.record_lifetime));
     return {command_status::ok, {}};
 }
 
@@ -240,13 +241,13 @@
     }
 }
 
-void execution_ledger::add_record(const record_id& id, execution_record it)
+void execution_ledger::add_record(const record_key& id, execution_record it)
 {
     expiries_.emplace(it.expires, id);
     records_.emplace(id, std::move(it));
 }
 
-void execution_ledger::remove_record(const record_id& id)
+void execution_ledger::remove_record(const record_key& id)
 {
     const auto at = records_.find(id);
     expiries_.erase({at->second.expires, id});
@@ -269,7 +270,7 @@
 
 const execution_record* execution_ledger::find(const record_id& id) const
 {
-    const auto at = records_.find(id);
+    const auto at = records_.find(key_of(id));
     return at == records_.end() ? nullptr : &at->second;
 }
 
--- a/Libraries/LibLedger/execution_ledger.hpp
+++ b/Libraries/LibLedger/execution_ledger.hpp
@@ -25,7 +25,9 @@
 
 namespace hyssoploft::ledger {
 
-inline constexpr std::size_t default_max_records = 65'536;
+/// At 544 bytes a record 18 MB of a node's 64 MB for control; see
+/// docs/measurements/resources.md.
+inline constexpr std::size_t default_max_records = 32'768;
 
 enum class record_state : std::uint8_t
 {
@@ -82,7 +84,10 @@
     const execution_record* find(const record_id& id) const;
 
 private:
-    using attempt_id = std::pair<record_id, std::string>;
+    /// Hash of a record_id. The identifier itself is not kept: a record has
+    /// 544 bytes in place of 896.
+    using record_key = core::digest;
+    using attempt_id = std::pair<record_key, std::string>;
 
     command_result run(const begin_command& it);
     command_result run(const finish_command& it);
@@ -91,14 +96,14 @@
     begin_result
     repeat(const execution_record& at, const begin_request& it) const;
     void advance(log_time to);
-    void add_record(const record_id& id, execution_record it);
-    void remove_record(const record_id& id);
+    void add_record(const record_key& id, execution_record it);
+    void remove_record(const record_key& id);
     void add_abandoned(attempt_id id, log_time expires);
 
     std::size_t max_records_;
-    log_time time_ = 0;                                 // Never goes back.
-    std::map<record_id, execution_record> records_;     // At most max_records_.
-    std::set<std::pair<log_time, record_id>> expiries_; // One for each record.
+    log_time time_ = 0;                              // Never goes back.
+    std::map<record_key, execution_record> records_; // At most max_records_.
+    std::set<std::pair<log_time, record_key>> expiries_; // One for each record.
     // Attempts that may never be created any more: a begin can reach the log
     // after the abandon that gave up on it. At most max_records_; the one that
     // expires first is dropped, which costs a late begin a record that nobody
