hyssopctl: Add the operators' command

Cause: operators need to apply, compare, list and watch resources, create and withdraw keys, and see which VMs lag, from any VM that answers.

If no VM answers, it names the identifier, and `hyssopctl outcome` tells what became of it: an empty batch under an identifier returns the kept result, or settles that the request will never be applied. A key is made locally, only its keyed hash is sent, and it is shown only once the change is accepted.

--- a/Libraries/LibResource/resource_store.cpp
+++ b/Libraries/LibResource/resource_store.cpp
@@ -240,7 +240,9 @@
         at != request_index_.end())
     {
         const auto& kept = requests_[at->second - first_ordinal_];
-        if (kept.content == content)
+        const bool asks =
+            decoded->changes.empty() && decoded->withdrawn_digests.empty();
+        if (asks || kept.content == content)
         {
             return kept.result;
         }
--- a/Libraries/LibResource/resource_store.hpp
+++ b/Libraries/LibResource/resource_store.hpp
@@ -43,7 +43,9 @@
 {
 public:
     /// Applies an encoded batch and returns the encoded result. A resend gets
-    /// the first result, byte by byte.
+    /// the first result, byte by byte. So does an empty batch under the same
+    /// identifier, which asks for the outcome; if it comes first, the batch
+    /// that it asks for is refused as request_id_reuse later.
     std::string apply(std::string_view batch);
 
     /// What apply() would answer to a new request; nothing is kept.
--- /dev/null
+++ b/Tests/LibResource/hyssopctl.cpp
@@ -0,0 +1,326 @@
+// Guards against commands that act twice when answers are lost, give up while
+// a VM would answer, or show a key that is not in force.
+
+#include <LibResource/samples.hpp>
+#include <LibResource/withdrawal_set.hpp>
+#include <hyssopctl/beast_transport.hpp>
+#include <hyssopctl/commands.hpp>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/streambuf.hpp>
+#include <boost/asio/write.hpp>
+#include <doctest.h>
+
+#include <deque>
+#include <fstream>
+#include <sstream>
+#include <thread>
+
+using namespace hyssoploft;
+using namespace hyssoploft::ctl;
+using namespace hyssoploft::resource;
+using namespace hyssoploft::tests;
+
+namespace {
+
+enum class fault
+{
+    none,
+    refused,    // No connection.
+    lost_reply, // Carried out, but the reply is lost.
+    no_leader   // 503
+};
+
+/// Two VMs over one store, with a fault for each of the next exchanges.
+class fake_admin final : public http_transport
+{
+public:
+    absl::StatusOr<http_reply>
+    send(const std::string& address, const http_request& request) override
+    {
+        asked.push_back(address + " " + request.target);
+        auto what = fault::none;
+        if (!faults.empty())
+        {
+            what = faults.front();
+            faults.pop_front();
+        }
+        if (what == fault::refused)
+        {
+            return absl::UnavailableError("connect: refused");
+        }
+        if (what == fault::no_leader)
+        {
+            return http_reply{503, to_json_text(admin_error{"no leader", {}})};
+        }
+        auto reply = answer(request);
+        if (what == fault::lost_reply)
+        {
+            return absl::UnavailableError("receive: end of stream");
+        }
+        return reply;
+    }
+
+    resource_store store = make_store();
+    withdrawal_set heard;
+    std::deque<fault> faults;
+    std::vector<std::string> asked;
+
+private:
+    http_reply answer(const http_request& request)
+    {
+        const auto path = request.target.substr(0, request.target.find('?'));
+        if (path == admin_path::resources)
+        {
+            return {200, to_json_text(list())};
+        }
+        if (path == admin_path::withdraw)
+        {
+            const auto it = *from_json_text<withdraw_request>(request.body);
+            auto digests = it.digests;
+            for (const auto& name : it.names)
+            {
+                digests.push_back(store.view().keys.at(name).digest);
+            }
+            return {
+                200, to_json_text(
+                         withdraw_response{heard.merge(digests).size(), 0})};
+        }
+        if (path == admin_path::watch)
+        {
+            watch_response it{store.version(), false, {}};
+            const auto from = std::stoull(
+                request.target.substr(request.target.find('=') + 1));
+            const auto events = store.changes_since(from);
+            it.list_again = !events.ok();
+            for (const auto& bytes :
+                 events.ok() ? *events : std::vector<std::string>{})
+            {
+                it.events.push_back(*decode_event(bytes));
+            }
+            return {200, to_json_text(it)};
+        }
+        const auto it = from_json_text<apply_request>(request.body);
+        REQUIRE(it.ok());
+        const auto batch = make_batch(it->request_id, it->changes);
+        const auto result =
+            it->dry_run ? store.dry_run(batch) : apply(store, batch);
+        return {http_status(result.outcome), to_json_text(result)};
+    }
+
+    resource_list list() const
+    {
+        resource_list it{store.version(), {}};
+        for (const auto& [id, version] : store.view().versions)
+        {
+            it.items.push_back({*find_resource(store.view(), id), version});
+        }
+        return it;
+    }
+};
+
+struct bench
+{
+    explicit bench(std::vector<fault> faults = {})
+    {
+        server.faults.assign(faults.begin(), faults.end());
+    }
+
+    static client_options options()
+    {
+        client_options it;
+        it.addresses = {"a", "b"};
+        it.rounds = 2;
+        return it;
+    }
+
+    fake_admin server;
+    admin_client client{server, options()};
+    core::seeded_random random{7};
+    std::ostringstream out;
+    std::ostringstream err;
+    command_context context{client, random, out, err};
+};
+
+std::string write_file(const std::string& text)
+{
+    const std::string path = "hyssopctl-test.yaml";
+    std::ofstream(path) << text;
+    return path;
+}
+
+const std::string new_account = "{kind: account, name: new}";
+
+} // namespace
+
+TEST_CASE("a change acts once, whichever exchange fails")
+{
+    struct outcome
+    {
+        std::vector<fault> faults; // The first exchange lists resources.
+        exit_code code;
+        std::uint64_t version; // Of the store in the end.
+    };
+    const auto none = fault::none;
+    const auto lost = fault::lost_reply;
+    const auto refused = fault::refused;
+    for (const auto& it : std::vector<outcome>{
+             {{}, exit_code::done, 2},
+             {{refused, none, none}, exit_code::done, 2},
+             {{none, fault::no_leader}, exit_code::done, 2},
+             {{none, lost}, exit_code::done, 2},
+             {{none, lost, lost, lost}, exit_code::done, 2},
+             {{none, lost, lost, lost, lost}, exit_code::failed, 2},
+             {{none, refused, refused, refused, refused}, exit_code::failed, 1},
+             {{refused, refused, refused, refused}, exit_code::failed, 1}})
+    {
+        CAPTURE(it.faults.size());
+        bench b(it.faults);
+        CHECK(apply_file(b.context, write_file(new_account)) == it.code);
+        CHECK_EQ(b.server.store.version(), it.version);
+    }
+}
+
+TEST_CASE("the outcome of a request whose answers were all lost can be asked")
+{
+    const auto lost = fault::lost_reply;
+    bench b({fault::none, lost, lost, lost, lost});
+    apply_file(b.context, write_file(new_account));
+    const auto text = b.err.str();
+    const auto at = text.find("hyssopctl outcome ");
+    REQUIRE(at != std::string::npos);
+    const auto id = text.substr(at + 18, 32);
+    CHECK(show_outcome(b.context, id) == exit_code::done);
+    CHECK_EQ(b.out.str(), "applied at version 2\n");
+}
+
+TEST_CASE("a file is compared, applied once and then unchanged")
+{
+    bench b;
+    const auto path = write_file(
+        "- {kind: account, name: shop, home_region: north, weight: 2}\n"
+        "- " +
+        new_account);
+    CHECK(diff_file(b.context, path) == exit_code::differs);
+    CHECK(
+        b.out.str().find("~ account/shop\n    weight: 1E0 -> 2E0\n") !=
+        std::string::npos);
+    CHECK(b.out.str().find("+ account/new ") != std::string::npos);
+    CHECK_EQ(b.server.store.version(), 1);
+    CHECK(apply_file(b.context, path) == exit_code::done);
+    CHECK(apply_file(b.context, path) == exit_code::done);
+    CHECK(diff_file(b.context, path) == exit_code::done);
+    CHECK_EQ(b.server.store.version(), 2);
+}
+
+TEST_CASE("findings of a file are printed and nothing is sent")
+{
+    bench b;
+    const auto path = write_file("{kind: rate, name: none}");
+    CHECK(apply_file(b.context, path) == exit_code::usage);
+    CHECK_EQ(
+        b.err.str(),
+        path + ":1: rate/none.name: account 'none' does not exist\n");
+    CHECK(apply_file(b.context, "missing.yaml") == exit_code::usage);
+    CHECK_EQ(b.server.store.version(), 1);
+}
+
+TEST_CASE("a change between listing and applying is a conflict")
+{
+    bench b;
+    const auto listed = list_resources(b.context, "", "");
+    apply(b.server.store, make_batch("other", {set(make_account("x"))}));
+    CHECK(
+        send_changes(b.context, {set(make_account("x", 2), 0)}) ==
+        exit_code::conflict);
+    CHECK(b.out.str().find("expected version 0, is at 2") != std::string::npos);
+}
+
+TEST_CASE("a key is shown only once it is in force, and never sent")
+{
+    bench b({fault::lost_reply});
+    CHECK(create_key(b.context, "shop", "shop-2", "secret") == exit_code::done);
+    const auto shown = b.out.str();
+    REQUIRE_EQ(shown.size(), 7 + 64 + 1);
+    const auto digest = core::to_hex(
+        core::hmac_sha256("secret", shown.substr(0, shown.size() - 1)));
+    CHECK_EQ(b.server.store.view().keys.at("shop-2").digest, digest);
+
+    bench c;
+    CHECK(create_key(c.context, "none", "k", "secret") == exit_code::failed);
+    CHECK_EQ(c.out.str(), "");
+    CHECK(
+        create_key(c.context, "shop", "shop-1", "secret") ==
+        exit_code::conflict);
+    CHECK_EQ(c.out.str(), "");
+}
+
+TEST_CASE("keys are withdrawn by name and digest, with resends")
+{
+    bench b({fault::lost_reply});
+    const std::string digest(64, 'a');
+    CHECK(withdraw_keys(b.context, {"shop-1", digest}) == exit_code::done);
+    CHECK(b.server.heard.contains(digest));
+    CHECK(b.server.heard.contains(make_key("shop-1", "shop").digest));
+    CHECK(withdraw_keys(b.context, {}) == exit_code::usage);
+    CHECK(withdraw_keys(b.context, {"no/name"}) == exit_code::usage);
+}
+
+TEST_CASE("a watch prints each change once and goes on after a failure")
+{
+    bench b({fault::none, fault::refused, fault::no_leader});
+    apply(b.server.store, make_batch("1", {set(make_account("x"))}));
+    apply(
+        b.server.store, make_batch("2", {remove(resource_kind::account, "x")}));
+    CHECK(watch(b.context, 1, 2) == exit_code::done);
+    CHECK_EQ(b.out.str().substr(0, 16), "2 set account/x ");
+    CHECK(b.out.str().find("\n3 delete account/x\n") != std::string::npos);
+}
+
+TEST_CASE("drain never goes to a second VM")
+{
+    bench b;
+    CHECK(drain(b.context) == exit_code::usage);
+    CHECK(b.server.asked.empty());
+}
+
+TEST_CASE("the transport sends the token and reads the reply")
+{
+    namespace asio = boost::asio;
+    using asio::ip::tcp;
+    asio::io_context io;
+    tcp::acceptor acceptor(io, {asio::ip::address_v4::loopback(), 0});
+    const auto port = acceptor.local_endpoint().port();
+    std::string head;
+    std::thread server([&] {
+        auto socket = acceptor.accept();
+        asio::streambuf buf;
+        asio::read_until(socket, buf, "{}");
+        head.assign(
+            asio::buffers_begin(buf.data()), asio::buffers_end(buf.data()));
+        asio::write(
+            socket,
+            asio::buffer(std::string(
+                "HTTP/1.1 409 Conflict\r\nContent-Length: 2\r\n\r\nno")));
+    });
+    beast_transport transport;
+    const auto address = core::concat("127.0.0.1:", port);
+    const auto reply = transport.send(
+        address, {"POST", "/x", "{}", "token", std::chrono::seconds(10)});
+    server.join();
+    REQUIRE(reply.ok());
+    CHECK_EQ(reply->status, 409);
+    CHECK_EQ(reply->body, "no");
+    CHECK(head.starts_with("POST /x HTTP/1.1\r\n"));
+    CHECK(head.find("Authorization: Bearer token\r\n") != std::string::npos);
+
+    acceptor.close();
+    CHECK_FALSE(transport.send(address, {"GET", "/", "", ""}).ok());
+    for (const auto* it :
+         {"", "127.0.0.1", "127.0.0.1:0", "host:80", "1.2.3.4:x"})
+    {
+        CHECK_FALSE(transport.send(it, {"GET", "/", "", ""}).ok());
+    }
+}
--- a/Tests/LibResource/resource_store.cpp
+++ b/Tests/LibResource/resource_store.cpp
@@ -295,6 +295,19 @@
     CHECK_EQ(name(reuse.outcome), "request_id_reuse");
 }
 
+TEST_CASE("an empty batch asks for an outcome and settles a lost request")
+{
+    auto store = make_store();
+    const auto first =
+        store.apply(encode_batch(make_batch("1", {set(make_account("a"))})));
+    CHECK_EQ(store.apply(encode_batch(make_batch("1", {}))), first);
+
+    CHECK_EQ(name(apply(store, make_batch("2", {})).outcome), "unchanged");
+    const auto late = apply(store, make_batch("2", {set(make_account("b"))}));
+    CHECK_EQ(name(late.outcome), "request_id_reuse");
+    CHECK_FALSE(store.view().accounts.contains("b"));
+}
+
 TEST_CASE("the last 4,096 request identifiers are kept")
 {
     resource_store store;
