LibResource: Refuse values of another kind and bound conflicts

Cause: a change whose value is of another kind than its identifier reached the reference checks, where reading it as a fleet throws; the names in a kept conflict had no bound; VMs that propose the same withdrawal would use up the kept request identifiers; a copied store shared its configuration.

Change: references are checked only if identifiers and values match, names in conflicts are cut, make_withdrawal_batch() derives the request identifier from the digests, and stores can be moved but not copied.

--- a/Libraries/LibResource/published_configuration.hpp
+++ b/Libraries/LibResource/published_configuration.hpp
@@ -15,6 +15,14 @@
 class published_configuration
 {
 public:
+    published_configuration() = default;
+    // A copy would share a value that either of them may change.
+    published_configuration(const published_configuration&) = delete;
+    published_configuration& operator=(const published_configuration&) = delete;
+    published_configuration(published_configuration&&) = default;
+    published_configuration& operator=(published_configuration&&) = default;
+    ~published_configuration() = default;
+
     const configuration& view() const
     {
         return *value_;
--- a/Libraries/LibResource/reference_rules.cpp
+++ b/Libraries/LibResource/reference_rules.cpp
@@ -304,6 +304,7 @@
 {
     std::vector<problem> found;
     std::set<resource_id> seen;
+    bool matching = true;
     for (const auto& it : changes)
     {
         if (!seen.insert(it.id).second)
@@ -317,13 +318,14 @@
         if (id_of(*it.value) != it.id)
         {
             found.push_back({it.id, "name", "differs from the value's name"});
+            matching = false;
             continue;
         }
         auto more = check_values(*it.value);
         found.insert(found.end(), more.begin(), more.end());
     }
     // References between duplicate or wrongly named resources say nothing.
-    if (seen.size() == changes.size())
+    if (matching && seen.size() == changes.size())
     {
         auto more = check_references(base, changes);
         found.insert(found.end(), more.begin(), more.end());
--- a/Libraries/LibResource/resource_store.cpp
+++ b/Libraries/LibResource/resource_store.cpp
@@ -8,6 +8,7 @@
 
 #include <glog/logging.h>
 
+#include <algorithm>
 #include <set>
 #include <utility>
 
@@ -38,18 +39,24 @@
     }
 }
 
-void limit_problems(apply_result& it)
+void shorten(std::string& text)
 {
+    text.resize(std::min(text.size(), max_message_bytes));
+}
+
+void limit_items(apply_result& it)
+{
+    limit(it.conflicts, it.omitted);
+    for (auto& found : it.conflicts)
+    {
+        shorten(found.id.name);
+    }
     limit(it.problems, it.omitted);
     for (auto& found : it.problems)
     {
-        for (auto* text : {&found.id.name, &found.field, &found.message})
-        {
-            if (text->size() > max_message_bytes)
-            {
-                text->resize(max_message_bytes);
-            }
-        }
+        shorten(found.id.name);
+        shorten(found.field);
+        shorten(found.message);
     }
 }
 
@@ -116,7 +123,7 @@
     limit(what, omitted);
     for (auto& it : what)
     {
-        it.resize(std::min(it.size(), max_message_bytes));
+        shorten(it);
     }
     if (omitted > 0)
     {
@@ -196,14 +203,14 @@
     if (!it.result.conflicts.empty())
     {
         it.result.outcome = apply_outcome::conflict;
-        limit(it.result.conflicts, it.result.omitted);
+        limit_items(it.result);
         return it;
     }
     it.result.problems = find_problems(view(), batch);
     if (!it.result.problems.empty())
     {
         it.result.outcome = apply_outcome::refused;
-        limit_problems(it.result);
+        limit_items(it.result);
         return it;
     }
     it.event = make_event(batch);
--- a/Libraries/LibResource/withdrawal_set.cpp
+++ b/Libraries/LibResource/withdrawal_set.cpp
@@ -2,8 +2,13 @@
 
 #include <LibResource/withdrawal_set.hpp>
 
+#include <LibCore/keyed_hash.hpp>
+#include <LibCore/text.hpp>
 #include <LibResource/validation.hpp>
 
+#include <algorithm>
+#include <utility>
+
 namespace hyssoploft::resource {
 
 absl::Status withdrawal_set::add(const std::string& digest)
@@ -59,6 +64,23 @@
     });
 }
 
+change_batch make_withdrawal_batch(
+    std::vector<std::string> digests, const std::string& author)
+{
+    std::sort(digests.begin(), digests.end());
+    std::string joined;
+    for (const auto& it : digests)
+    {
+        joined += it;
+    }
+    change_batch it;
+    it.request_id =
+        core::concat("withdraw-", core::to_hex(core::sha256(joined)));
+    it.author = author;
+    it.withdrawn_digests = std::move(digests);
+    return it;
+}
+
 bool is_withdrawn(
     const configuration& committed, const withdrawal_set& heard,
     const std::string& digest)
--- a/Libraries/LibResource/withdrawal_set.hpp
+++ b/Libraries/LibResource/withdrawal_set.hpp
@@ -5,7 +5,7 @@
 // only grows, and merging is commutative, associative and idempotent, so that
 // gossip may deliver it in any order and any number of times.
 
-#include <LibResource/configuration.hpp>
+#include <LibResource/change_batch.hpp>
 
 #include <absl/status/status.h>
 
@@ -57,6 +57,12 @@
     std::set<std::string> digests_; // At most max_withdrawals.
 };
 
+/// The batch that commits these digests. Its request identifier depends on
+/// them only, so that VMs which propose the same withdrawals don't use up the
+/// kept request identifiers of operators.
+change_batch make_withdrawal_batch(
+    std::vector<std::string> digests, const std::string& author);
+
 /// True if the configuration or the gossip says so.
 bool is_withdrawn(
     const configuration& committed, const withdrawal_set& heard,
--- a/Tests/LibResource/resource_store.cpp
+++ b/Tests/LibResource/resource_store.cpp
@@ -345,6 +345,16 @@
     auto other = make_batch("2", {set(make_account("a"))});
     other.changes[0].id.name = "b";
     CHECK_EQ(name(apply(store, other).outcome), "refused");
+    // A value of another kind than the change says.
+    for (const auto& [kind, text] : resource_kind_names)
+    {
+        auto mixed =
+            make_batch(std::string(text), {set(make_account("fleet"))});
+        mixed.changes[0].id.kind = kind;
+        CHECK_EQ(
+            name(apply(store, mixed).outcome),
+            kind == resource_kind::account ? "applied" : "refused");
+    }
 }
 
 TEST_CASE("malformed bytes are refused and change nothing")
@@ -386,6 +396,17 @@
     CHECK_EQ(result->problems.size(), max_reported_items);
     CHECK_GT(result->omitted, 0);
     CHECK_LT(bytes.size(), 64 * 1024);
+
+    changes.clear();
+    for (char c = '0'; c < '0' + 40; ++c)
+    {
+        changes.push_back(remove(resource_kind::account, std::string(5000, c)));
+        changes.back().expected_version = 1;
+    }
+    const auto conflicts =
+        store.apply(encode_batch(make_batch("2", std::move(changes))));
+    CHECK_EQ(name(decode_result(conflicts)->outcome), "conflict");
+    CHECK_LT(conflicts.size(), 64 * 1024);
 }
 
 TEST_CASE("every batch leaves an audit entry, a resend none")
--- a/Tests/LibResource/withdrawal_set.cpp
+++ b/Tests/LibResource/withdrawal_set.cpp
@@ -97,7 +97,13 @@
 
     const auto waiting = heard.uncommitted(store.view(), 10);
     REQUIRE_EQ(waiting.size(), 1);
-    apply(store, make_batch("1", {}, waiting));
+    const auto batch = make_withdrawal_batch(waiting, "gossip");
+    CHECK(outcome_of(store, batch) == apply_outcome::applied);
+    // Another VM proposes the same: no further identifier is kept.
+    const auto entries = store.audit_sequence();
+    const auto again = make_withdrawal_batch(waiting, "gossip");
+    CHECK(outcome_of(store, again) == apply_outcome::applied);
+    CHECK_EQ(store.audit_sequence(), entries);
     CHECK(heard.uncommitted(store.view(), 10).empty());
     CHECK_EQ(heard.drop_committed(store.view()), 1);
     CHECK_EQ(heard.size(), 0);
