--- a/Meta/local-fleet.sh
+++ b/Meta/local-fleet.sh
@@ -89,7 +89,11 @@
     done
 }
 
-fleet_kill() { kill -"$1" "${fleet_pids[$2]}" 2>/dev/null; }
+fleet_kill() {
+    kill -"$1" "${fleet_pids[$2]}" 2>/dev/null
+    # Reaped here, so that the shell does not report it later.
+    [ "$1" != KILL ] || wait "${fleet_pids[$2]}" 2>/dev/null || true
+}
 
 # fleet_reap NAME: waits for the process and sets fleet_exit_code.
 fleet_reap() {
--- a/Tests/StandIns/announcer.hpp
+++ b/Tests/StandIns/announcer.hpp
@@ -30,6 +30,11 @@
     /// Says that it leaves; returns after the VM answered or 2 s.
     void leave();
 
+    std::uint64_t incarnation() const
+    {
+        return incarnation_;
+    }
+
     void set_running(std::uint32_t calls)
     {
         running_ = calls;
--- a/Tests/StandIns/model_engine.cpp
+++ b/Tests/StandIns/model_engine.cpp
@@ -85,8 +85,7 @@
         if (it.message().target() == "/stats")
         {
             http::response answer(http::bhttp::status::ok, 11);
-            answer.body() = json::serialize(
-                json::object{{"calls", calls_}, {"leaked_key", leaked_}});
+            answer.body() = stats();
             (void)co_await it.respond(std::move(answer));
             co_return;
         }
@@ -98,6 +97,14 @@
     }
 
 private:
+    std::string stats() const
+    {
+        return json::serialize(json::object{
+            {"calls", calls_},
+            {"leaked_key", leaked_},
+            {"incarnation", news ? news->incarnation() : 0}});
+    }
+
     static bool sees_key(const http::request& message)
     {
         return message.count("authorization") > 0 ||
