--- a/Libraries/LibConsensus/consensus_node.hpp
+++ b/Libraries/LibConsensus/consensus_node.hpp
@@ -284,9 +284,9 @@
     void install(const snapshot_part& it);
     void send_part(replica_id to, peer_progress& peer, bool heartbeat);
 
-    const node_options options_;
+    node_options options_; // Fixed at creation, as is self_.
     core::random_source& random_;
-    const replica_id self_;
+    replica_id self_;
     core::time_point now_; // Never goes back.
 
     hard_state state_;
--- a/Tests/LibConsensus/single_node.cpp
+++ b/Tests/LibConsensus/single_node.cpp
@@ -139,16 +139,26 @@
 
 TEST_CASE("a batch that completes late confirms no replaced entry")
 {
-    hand_fed it({entry(1, 1)}, 2);
+    hand_fed it({entry(1, 1)});
+    // While the term is written, an entry comes and then a newer term, so that
+    // one batch holds both; the leader of that term replaces the entry.
+    it.receive(2, append_request{2, {1, 1}, 0, 0, {}});
     it.receive(2, append_request{2, {1, 1}, 0, 0, {entry(2, 2)}});
+    it.receive(3, vote_request{3, {2, 2}, false, true});
+    it.complete();
+    REQUIRE(it.batch.has_value());
+    CHECK(it.batch->entries == std::vector{entry(2, 2)});
     it.receive(3, append_request{3, {1, 1}, 0, 0, {entry(2, 3)}});
     it.sent.clear();
-    it.complete(); // Of the entry of term 2.
+    it.complete();
+    CHECK_FALSE(it.sent.empty());
     for (const auto& sent : it.sent)
     {
         const auto* response = std::get_if<append_response>(&sent.body);
         CHECK((response == nullptr || response->durable_index <= 1));
     }
+    it.complete();
+    CHECK_EQ(it.last<append_response>().durable_index, 2);
 }
 
 TEST_CASE("a replaced membership entry is no longer in force")
@@ -223,6 +233,27 @@
         bytes_sent(), defaults.max_in_flight_bytes + defaults.max_append_bytes);
 }
 
+TEST_CASE("a read waits for a quorum that answered after it was asked for")
+{
+    hand_fed it({});
+    it.win();
+    it.complete();
+    auto answer = accepted(2, 1);
+    it.receive(2, answer);
+    REQUIRE_EQ(it.node->commit_index(), 1);
+    REQUIRE(it.node->read(7).ok());
+    it.take();
+    CHECK(it.out.reads.empty());
+    it.receive(2, answer); // Sent before the read.
+    CHECK(it.out.reads.empty());
+    REQUIRE_FALSE(it.sent.empty());
+    answer.read_round = it.last<append_request>().read_round;
+    it.receive(2, answer);
+    REQUIRE_EQ(it.out.reads.size(), 1);
+    CHECK_EQ(it.out.reads[0].id, 7);
+    CHECK_EQ(it.out.reads[0].index, 1);
+}
+
 TEST_CASE("malformed appends change nothing")
 {
     const std::vector<log_entry> malformed[] = {
