hyssopctl: Test listing, deletion and status

Cause: get, delete, status and entry-vms had no test.

Change: the fake server answers their paths, and its listing follows the query, so that a deletion is checked against the version of its own resource.

--- a/Tests/LibResource/hyssopctl.cpp
+++ b/Tests/LibResource/hyssopctl.cpp
@@ -74,7 +74,7 @@
         const auto path = request.target.substr(0, request.target.find('?'));
         if (path == admin_path::resources)
         {
-            return {200, to_json_text(list())};
+            return {200, to_json_text(list(request.target))};
         }
         if (path == admin_path::withdraw)
         {
@@ -102,6 +102,18 @@
             }
             return {200, to_json_text(it)};
         }
+        if (path == admin_path::status)
+        {
+            status_response it{"v1", "", 3, 4, 5, 4, 1, 7, {}, {"s2"}};
+            it.vms.push_back({"s2", "south", "alive", 4, true});
+            return {200, to_json_text(it)};
+        }
+        if (path == admin_path::entry_vms)
+        {
+            return {
+                200, to_json_text(entry_vm_list{
+                         30, {{"n1", "10.0.0.1:80", "north", "n-a"}}})};
+        }
         const auto it = from_json_text<apply_request>(request.body);
         REQUIRE(it.ok());
         const auto batch = make_batch(it->request_id, it->changes);
@@ -110,11 +122,19 @@
         return {http_status(result.outcome), to_json_text(result)};
     }
 
-    resource_list list() const
+    resource_list list(const std::string& target) const
     {
+        const auto query = std::string(admin_path::resources);
         resource_list it{store.version(), {}};
         for (const auto& [id, version] : store.view().versions)
         {
+            const auto kind = core::concat(
+                query, "?kind=", core::name_of(resource_kind_names, id.kind));
+            if (target != query && target != kind &&
+                target != core::concat(kind, "&name=", id.name))
+            {
+                continue;
+            }
             it.items.push_back({*find_resource(store.view(), id), version});
         }
         return it;
@@ -279,6 +299,38 @@
     CHECK(b.out.str().find("\n3 delete account/x\n") != std::string::npos);
 }
 
+TEST_CASE("resources are listed and deleted at the version that was listed")
+{
+    bench b;
+    apply(b.server.store, make_batch("1", {set(make_account("x"))}));
+    CHECK(get_resources(b.context, "account", "x") == exit_code::done);
+    CHECK_EQ(
+        b.out.str(),
+        R"({"kind":"account","name":"x","home_region":"","weight":1E0,)"
+        "\"version\":2}\n");
+    CHECK(delete_resource(b.context, "account", "x") == exit_code::done);
+    CHECK_EQ(b.server.store.version(), 3);
+    CHECK(get_resources(b.context, "account", "x") == exit_code::failed);
+    CHECK(delete_resource(b.context, "account", "x") == exit_code::failed);
+    CHECK(get_resources(b.context, "acount", "") == exit_code::usage);
+    CHECK(delete_resource(b.context, "account", "a&b") == exit_code::usage);
+    CHECK_EQ(b.server.store.version(), 3);
+}
+
+TEST_CASE("status shows the VMs that lag, entry-vms their addresses")
+{
+    bench b;
+    CHECK(show_status(b.context) == exit_code::done);
+    CHECK(b.out.str().find("leader: none known\n") != std::string::npos);
+    CHECK(
+        b.out.str().find("  s2 south alive version 4 control\n") !=
+        std::string::npos);
+    CHECK(b.out.str().find("lacks version 5: s2\n") != std::string::npos);
+    b.out.str("");
+    CHECK(show_entry_vms(b.context) == exit_code::done);
+    CHECK_EQ(b.out.str(), "10.0.0.1:80 n1 north n-a\n");
+}
+
 TEST_CASE("drain never goes to a second VM")
 {
     bench b;
