LibRouting: Learn from first tokens when they come, not when calls end

Cause: a quote streams for about 9 s, so what its first token says about the upstream came 9 s late, and a call counted as prefill until its expected, not its real first token. Change: router gets an optional first_token() with an empty default; expected_time_router ends the call's pending prefill with it, learns the rate and compares the upstream with its peers. Without announcements it works as before. The gateway should call first_token().

--- a/Libraries/LibRouting/expected_time.cpp
+++ b/Libraries/LibRouting/expected_time.cpp
@@ -49,6 +49,21 @@
     }
 }
 
+expected_time::lesson expected_time::learn_first_token(
+    upstream_slot& it, const own_call& call, double seconds,
+    core::time_point now)
+{
+    // Against the rates of all upstreams, not its own: an upstream that
+    // became slow must not become its own yardstick.
+    const double pooled =
+        pooled_.rates(costs_.prior, now).seconds_per_prompt_token;
+    const double expected = call.wait_seconds + call.work_tokens * pooled;
+    const double work = std::max(0.0, seconds - call.wait_seconds);
+    it.rates.observe_prefill(work, call.work_tokens, now);
+    pooled_.observe_prefill(work, call.work_tokens, now);
+    return {true, std::log(seconds / std::max(expected, least_seconds))};
+}
+
 expected_time::lesson expected_time::learn(
     upstream_slot& it, const own_call& call, const call_result& result,
     core::time_point now)
@@ -58,16 +73,10 @@
     lesson learned;
     if (result.outcome != call_outcome::failed && first > 0)
     {
-        // Against the rates of all upstreams, not its own: an upstream that
-        // became slow must not become its own yardstick.
-        const double pooled =
-            pooled_.rates(costs_.prior, now).seconds_per_prompt_token;
-        const double expected = call.wait_seconds + call.work_tokens * pooled;
-        learned.timed = true;
-        learned.slowness = std::log(first / std::max(expected, least_seconds));
-        const double work = std::max(0.0, first - call.wait_seconds);
-        it.rates.observe_prefill(work, call.work_tokens, now);
-        pooled_.observe_prefill(work, call.work_tokens, now);
+        if (!call.answered)
+        {
+            learned = learn_first_token(it, call, first, now);
+        }
         if (result.answer_tokens > 1)
         {
             it.rates.observe_decode(
--- a/Libraries/LibRouting/expected_time.hpp
+++ b/Libraries/LibRouting/expected_time.hpp
@@ -37,6 +37,12 @@
         double slowness = 0; ///< ln(observed / expected of any upstream).
     };
 
+    /// A first token came `seconds` after the call was sent.
+    lesson learn_first_token(
+        upstream_slot& it, const own_call& call, double seconds,
+        core::time_point now);
+
+    /// The end of a call; its first token is learned unless it was before.
     lesson learn(
         upstream_slot& it, const own_call& call, const call_result& result,
         core::time_point now);
--- a/Libraries/LibRouting/expected_time_router.cpp
+++ b/Libraries/LibRouting/expected_time_router.cpp
@@ -384,6 +384,28 @@
     return result;
 }
 
+void expected_time_router::first_token(
+    const std::string& upstream, const routing_request& request,
+    core::duration since_choice, core::time_point now)
+{
+    const auto found = slots_.find(upstream);
+    if (found == slots_.end() || since_choice <= core::duration{})
+    {
+        return;
+    }
+    upstream_slot& s = *found->second;
+    const auto call = s.load.first_token(
+        request.prompt_tokens, prompt_hash(request), since_choice, now);
+    // A probe is judged as a whole when it has finished.
+    if (!call || call->answered || call->probe)
+    {
+        return;
+    }
+    const expected_time::lesson learned =
+        times_.learn_first_token(s, *call, core::to_seconds(since_choice), now);
+    ejector_.first_token(*s.health, learned.slowness, now);
+}
+
 void expected_time_router::finished(
     const std::string& upstream, const routing_request& request,
     const call_result& result, core::time_point now)
--- a/Libraries/LibRouting/expected_time_router.hpp
+++ b/Libraries/LibRouting/expected_time_router.hpp
@@ -71,6 +71,10 @@
     routing_result
     choose(const routing_request& request, core::time_point now) override;
 
+    void first_token(
+        const std::string& upstream, const routing_request& request,
+        core::duration since_choice, core::time_point now) override;
+
     void finished(
         const std::string& upstream, const routing_request& request,
         const call_result& result, core::time_point now) override;
--- a/Libraries/LibRouting/load_estimate.cpp
+++ b/Libraries/LibRouting/load_estimate.cpp
@@ -19,11 +19,10 @@
     own_.push_back(call);
 }
 
-std::optional<own_call> load_estimate::finished(
+std::vector<own_call>::iterator load_estimate::find(
     std::uint32_t prompt_tokens, std::uint64_t prompt_hash,
-    core::duration total, core::time_point now)
+    core::time_point start)
 {
-    const core::time_point start = now - total;
     auto best = own_.end();
     for (auto it = own_.begin(); it != own_.end(); ++it)
     {
@@ -38,6 +37,29 @@
             best = it;
         }
     }
+    return best;
+}
+
+std::optional<own_call> load_estimate::first_token(
+    std::uint32_t prompt_tokens, std::uint64_t prompt_hash,
+    core::duration since_start, core::time_point now)
+{
+    const auto it = find(prompt_tokens, prompt_hash, now - since_start);
+    if (it == own_.end())
+    {
+        return std::nullopt;
+    }
+    const own_call before = *it;
+    it->answered = true;
+    announced_ = true;
+    return before;
+}
+
+std::optional<own_call> load_estimate::finished(
+    std::uint32_t prompt_tokens, std::uint64_t prompt_hash,
+    core::duration total, core::time_point now)
+{
+    const auto best = find(prompt_tokens, prompt_hash, now - total);
     if (best == own_.end())
     {
         return std::nullopt;
@@ -105,7 +127,7 @@
     double tokens = 0;
     for (const own_call& it : own_)
     {
-        if (it.start + it.first_token > now)
+        if (announced_ ? !it.answered : it.start + it.first_token > now)
         {
             tokens += it.uncached_tokens;
         }
--- a/Libraries/LibRouting/load_estimate.hpp
+++ b/Libraries/LibRouting/load_estimate.hpp
@@ -25,6 +25,7 @@
     double uncached_tokens = 0;
     double wait_seconds = 0;      ///< Predicted queueing and network time.
     core::duration first_token{}; ///< Predicted.
+    bool answered = false;        ///< Its first token was announced.
     bool probe = false;
     bool remote = false;
     link_cost bytes;
@@ -52,6 +53,11 @@
         std::uint32_t prompt_tokens, std::uint64_t prompt_hash,
         core::duration total, core::time_point now);
 
+    /// A call's first token arrived. Returns the call as it was before.
+    std::optional<own_call> first_token(
+        std::uint32_t prompt_tokens, std::uint64_t prompt_hash,
+        core::duration since_start, core::time_point now);
+
     /// Takes in a report. Returns true if it is new.
     bool report(const membership::load_report& it);
 
@@ -76,8 +82,8 @@
         return static_cast<std::uint32_t>(own_.size());
     }
 
-    /// Uncached prompt tokens of own calls whose first token is expected
-    /// later than now.
+    /// Uncached prompt tokens of own calls that have no first token yet: by
+    /// announcement, or, if none was ever announced, by expectation.
     double pending_prefill(core::time_point now) const;
 
 private:
@@ -90,6 +96,9 @@
     // Calls that ended are needed only for reports that describe the past.
     static constexpr std::size_t max_past_calls = 256;
 
+    std::vector<own_call>::iterator find(
+        std::uint32_t prompt_tokens, std::uint64_t prompt_hash,
+        core::time_point start);
     std::uint32_t own_at(core::time_point when, core::duration margin) const;
 
     load_settings settings_;
@@ -101,6 +110,7 @@
     double others_mean_ = 0;      // Their decayed mean.
     double sharers_ = 1;
     bool understated_ = false;
+    bool announced_ = false; // First tokens are announced.
     bool distrusted_ = false;
 };
 
--- a/Libraries/LibRouting/outlier_ejector.cpp
+++ b/Libraries/LibRouting/outlier_ejector.cpp
@@ -60,28 +60,30 @@
     ++it.calls;
     it.failures_in_row = failed ? it.failures_in_row + 1 : 0;
     blend(it.failed_share, failed ? 1.0 : 0.0);
-    if (timed)
-    {
-        ++it.timed_calls;
-        blend(
-            it.slowness, std::clamp(slowness, -slowness_bound, slowness_bound));
-    }
-    if (it.state != health_state::healthy)
-    {
-        return;
-    }
-    if (it.failures_in_row >= settings_.consecutive_failures)
+    const bool healthy = it.state == health_state::healthy;
+    if (healthy && it.failures_in_row >= settings_.consecutive_failures)
     {
         eject(it, ejection_cause::consecutive_failures, now);
     }
     else if (
-        it.calls >= settings_.error_rate_calls &&
+        healthy && it.calls >= settings_.error_rate_calls &&
         it.failed_share >= settings_.error_rate)
     {
         eject(it, ejection_cause::error_rate, now);
     }
-    else if (
-        timed && it.timed_calls >= settings_.slow_calls &&
+    if (timed)
+    {
+        first_token(it, slowness, now);
+    }
+}
+
+void outlier_ejector::first_token(
+    upstream_health& it, double slowness, core::time_point now)
+{
+    ++it.timed_calls;
+    blend(it.slowness, std::clamp(slowness, -slowness_bound, slowness_bound));
+    if (it.state == health_state::healthy &&
+        it.timed_calls >= settings_.slow_calls &&
         is_slow(it, it.slowness, settings_.slow_factor))
     {
         eject(it, ejection_cause::slow, now);
--- a/Libraries/LibRouting/outlier_ejector.hpp
+++ b/Libraries/LibRouting/outlier_ejector.hpp
@@ -109,6 +109,10 @@
         upstream_health& it, bool failed, bool timed, double slowness,
         core::time_point now);
 
+    /// A first token came; `slowness` as above. The call's end follows.
+    void
+    first_token(upstream_health& it, double slowness, core::time_point now);
+
     void
     report_checked(upstream_health& it, bool understated, core::time_point now);
 
--- a/Libraries/LibRouting/router.hpp
+++ b/Libraries/LibRouting/router.hpp
@@ -124,6 +124,14 @@
     virtual routing_result
     choose(const routing_request& request, core::time_point now) = 0;
 
+    /// The first token of a chosen call arrived `since_choice` after
+    /// choose(). Optional: without it the router learns a call's time to
+    /// first token only when the call has finished.
+    virtual void first_token(
+        const std::string& /*upstream*/, const routing_request& /*request*/,
+        core::duration /*since_choice*/, core::time_point /*now*/)
+    {}
+
     virtual void finished(
         const std::string& upstream, const routing_request& request,
         const call_result& result, core::time_point now) = 0;
--- a/Tests/LibRouting/bench_routing.cpp
+++ b/Tests/LibRouting/bench_routing.cpp
@@ -326,6 +326,9 @@
             return;
         }
         s.first = now_ + (s.remote ? far_seconds : 0.001);
+        routers_[s.vm]->first_token(
+            core::concat("engine", s.engine), it.source->request,
+            core::from_seconds(s.first - s.chosen), at(now_));
         const double waited = s.first - it.source->time;
         if (it.source->time > warm_up)
         {
--- a/Tests/LibRouting/expected_time_router.cpp
+++ b/Tests/LibRouting/expected_time_router.cpp
@@ -185,6 +185,29 @@
     CHECK_EQ(it.router.belief("up-a-1", it.now).health, health_state::probing);
 }
 
+TEST_CASE("a slow upstream is avoided from its first tokens on, not only "
+          "when its calls end")
+{
+    bench it;
+    it.fleet.vms("a", 1).upstreams("a", 3, 1000);
+    it.install();
+    int late_to_slow = 0;
+    // Different prompts, so that each announcement meets its own call.
+    for (std::uint32_t i = 0; i < 150; ++i)
+    {
+        const routing_request request = quote(400 + i);
+        const std::string to = it.must_choose(request).upstream;
+        const core::duration first = to == "up-a-1" ? 4s : 150ms;
+        it.now += first;
+        it.router.first_token(to, request, first, it.now);
+        late_to_slow += i >= 50 && to == "up-a-1" ? 1 : 0;
+    }
+    CHECK_LT(late_to_slow, 10); // A third of 100 would be its even part.
+    CHECK_GT(
+        it.router.belief("up-a-1", it.now).rates.seconds_per_prompt_token,
+        3 * it.router.belief("up-a-0", it.now).rates.seconds_per_prompt_token);
+}
+
 TEST_CASE("an upstream that refused for load is left alone for a moment")
 {
     bench it;
--- a/Tests/LibRouting/load_and_links.cpp
+++ b/Tests/LibRouting/load_and_links.cpp
@@ -95,6 +95,21 @@
     CHECK_EQ(load.pending_prefill(start + 200ms), doctest::Approx(0));
 }
 
+TEST_CASE("announced first tokens replace the expectation")
+{
+    load_estimate load({});
+    load.started(call_at(start, 300));
+    load.started(call_at(start, 500));
+    const auto call = load.first_token(300, 0, 50ms, start + 50ms);
+    REQUIRE(call.has_value());
+    CHECK_FALSE(call->answered);
+    // A late one stays pending beyond its expected time.
+    CHECK_EQ(load.pending_prefill(start + 10s), doctest::Approx(500));
+    // A second announcement of the same call must not be learned again.
+    CHECK(load.first_token(300, 0, 60ms, start + 60ms)->answered);
+    CHECK_FALSE(load.first_token(999, 0, 60ms, start + 60ms).has_value());
+}
+
 TEST_CASE("rates are learned and one odd call does not decide them")
 {
     service_rate_estimator rates;
