--- a/Libraries/LibRouting/expected_time_router.cpp
+++ b/Libraries/LibRouting/expected_time_router.cpp
@@ -6,7 +6,6 @@
 #include <LibRouting/candidate_filter.hpp>
 
 #include <algorithm>
-#include <cmath>
 
 namespace hyssoploft::routing {
 namespace {
@@ -179,10 +178,6 @@
     }
     const bool only = options.size() == 1;
     apply_affinity(options, request, now);
-    if (request.priority == resource::priority_class::batch)
-    {
-        prefer_for_batch(options);
-    }
     hold_ramping(options, now);
     const route_option* local = best_of(options, true);
     const route_option* remote = best_of(options, false);
@@ -302,25 +297,6 @@
     }
 }
 
-void expected_time_router::prefer_for_batch(
-    std::vector<route_option>& options) const
-{
-    // Options are sorted by identifier, so all VMs prefer the same ones.
-    const auto n = static_cast<double>(std::count_if(
-        options.begin(), options.end(), [](const route_option& it) {
-            return it.local;
-        }));
-    double left = std::floor(n * settings_.batch_share);
-    for (route_option& it : options)
-    {
-        if (it.local && left >= 1)
-        {
-            it.seconds -= settings_.batch_preference_seconds;
-            left -= 1;
-        }
-    }
-}
-
 route_option* expected_time_router::probe_due(
     std::vector<route_option>& options, core::time_point now)
 {
--- a/Libraries/LibRouting/expected_time_router.hpp
+++ b/Libraries/LibRouting/expected_time_router.hpp
@@ -39,11 +39,6 @@
     /// Cached prefixes count only at upstreams whose load is at most this
     /// multiple of the mean of the candidates, plus one call.
     double affinity_load_bound = 1.25;
-    /// Batch calls prefer this part of the region's upstreams, so that long
-    /// prompts don't hold up interactive calls at all of them.
-    double batch_share = 0.34;
-    /// How much later a first token such a preference may cost.
-    double batch_preference_seconds = 1;
     /// No new call after the upstream refused one for load.
     core::duration rejected_pause = std::chrono::milliseconds(500);
     double request_bytes_per_token = 5;
@@ -108,7 +103,6 @@
     void apply_affinity(
         std::vector<route_option>& options, const routing_request& request,
         core::time_point now) const;
-    void prefer_for_batch(std::vector<route_option>& options) const;
     route_option*
     probe_due(std::vector<route_option>& options, core::time_point now);
     void hold_ramping(std::vector<route_option>& options, core::time_point now);
