--- a/Libraries/LibRetry/budgeted_retry_policy.cpp
+++ b/Libraries/LibRetry/budgeted_retry_policy.cpp
@@ -8,12 +8,13 @@
 
 budgeted_retry_policy::budgeted_retry_policy(
     const retry_settings& settings, core::random_source& random)
-    : settings_(settings), random_(random)
+    : settings_(settings), random_(random),
+      budget_(settings.budget_share, settings.budget_constant, settings.window)
 {}
 
 void budgeted_retry_policy::on_request(core::time_point now)
 {
-    ++current(now).requests;
+    budget_.on_request(now);
 }
 
 retry_decision
@@ -37,51 +38,13 @@
     {
         return {retry_reason::deadline_too_near, {}};
     }
-    if (!budget_left(now))
+    if (!budget_.take(now))
     {
         return {retry_reason::budget_exhausted, {}};
     }
-    ++current(now).retries;
     return {retry_reason::allowed, wait};
 }
 
-std::int64_t budgeted_retry_policy::slice_of(core::time_point now) const
-{
-    return now.time_since_epoch() /
-           (settings_.window / static_cast<int>(bucket_count));
-}
-
-budgeted_retry_policy::bucket&
-budgeted_retry_policy::current(core::time_point now)
-{
-    const std::int64_t slice = slice_of(now);
-    bucket& it = buckets_[static_cast<std::size_t>(slice) % bucket_count];
-    if (it.slice != slice)
-    {
-        it = {slice, 0, 0};
-    }
-    return it;
-}
-
-bool budgeted_retry_policy::budget_left(core::time_point now) const
-{
-    const std::int64_t oldest =
-        slice_of(now) - static_cast<std::int64_t>(bucket_count) + 1;
-    std::uint64_t requests = 0;
-    std::uint64_t retries = 0;
-    for (const bucket& it : buckets_)
-    {
-        if (it.slice >= oldest)
-        {
-            requests += it.requests;
-            retries += it.retries;
-        }
-    }
-    return static_cast<double>(retries + 1) <=
-           settings_.budget_share * static_cast<double>(requests) +
-               settings_.budget_constant;
-}
-
 core::duration budgeted_retry_policy::backoff(std::uint32_t attempts)
 {
     core::duration wait = settings_.backoff_base;
--- a/Libraries/LibRetry/budgeted_retry_policy.hpp
+++ b/Libraries/LibRetry/budgeted_retry_policy.hpp
@@ -5,10 +5,9 @@
 // failing fleet is not loaded with a multiple of its traffic.
 
 #include <LibCore/random_source.hpp>
+#include <LibRetry/attempt_budget.hpp>
 #include <LibRetry/retry_policy.hpp>
 
-#include <array>
-#include <cstddef>
 #include <cstdint>
 
 namespace hyssoploft::retry {
@@ -41,23 +40,11 @@
     decide(const failed_call& call, core::time_point now) override;
 
 private:
-    struct bucket
-    {
-        std::int64_t slice = -1; // Number of the slice of time it counts.
-        std::uint64_t requests = 0;
-        std::uint64_t retries = 0;
-    };
-
-    static constexpr std::size_t bucket_count = 10;
-
-    bucket& current(core::time_point now);
-    bool budget_left(core::time_point now) const;
-    std::int64_t slice_of(core::time_point now) const;
     core::duration backoff(std::uint32_t attempts);
 
     retry_settings settings_;
     core::random_source& random_;
-    std::array<bucket, bucket_count> buckets_{}; // Ring over the window.
+    attempt_budget budget_;
 };
 
 } // namespace hyssoploft::retry
--- /dev/null
+++ b/Tests/LibRetry/hedge_policy.cpp
@@ -0,0 +1,87 @@
+// Guards against hedges of calls that must not run twice, and against hedges
+// that multiply the load of a slow fleet.
+
+#include <LibRetry/hedge_policy.hpp>
+
+#include <doctest.h>
+
+#include <functional>
+
+using namespace hyssoploft;
+using namespace hyssoploft::retry;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr core::time_point start{1000s};
+
+waiting_call patient_call()
+{
+    return {true, true, true, false, start, start + 60s, 5s};
+}
+
+} // namespace
+
+TEST_CASE("each condition of a hedge refuses with its own reason")
+{
+    struct row
+    {
+        const char* name;
+        std::function<void(waiting_call&)> apply;
+        core::duration waited;
+        hedge_reason want;
+    };
+    const row rows[] = {
+        {"waits long", [](auto&) {}, 500ms, hedge_reason::allowed},
+        {"waits shortly", [](auto&) {}, 499ms, hedge_reason::too_early},
+        {"not idempotent",
+         [](auto& it) {
+             it.idempotent = false;
+         },
+         1s, hedge_reason::not_idempotent},
+        {"batch",
+         [](auto& it) {
+             it.interactive = false;
+         },
+         1s, hedge_reason::batch},
+        {"upstream can't cancel",
+         [](auto& it) {
+             it.cancellable = false;
+         },
+         1s, hedge_reason::not_cancellable},
+        {"second attempt runs",
+         [](auto& it) {
+             it.hedged = true;
+         },
+         1s, hedge_reason::already_hedged},
+        {"would end late", [](auto&) {}, 55s, hedge_reason::deadline_too_near}};
+    for (const row& it : rows)
+    {
+        CAPTURE(it.name);
+        hedge_policy policy{hedge_settings()};
+        waiting_call call = patient_call();
+        it.apply(call);
+        CHECK_EQ(policy.decide(call, start + it.waited), it.want);
+    }
+}
+
+TEST_CASE("a slow fleet gets a tenth more calls, not twice as many")
+{
+    const hedge_settings settings;
+    hedge_policy policy(settings);
+    int hedges = 0;
+    const int requests = 6000;
+    for (int i = 0; i < requests; ++i)
+    {
+        const core::time_point now = start + i * 10ms;
+        policy.on_request(now);
+        waiting_call call = patient_call();
+        call.sent = now - 1s;
+        call.deadline = now + 60s;
+        hedges += policy.decide(call, now) == hedge_reason::allowed ? 1 : 0;
+    }
+    CHECK_LE(
+        hedges,
+        settings.budget_share * requests + settings.budget_constant * 7.0);
+    CHECK_GE(hedges, settings.budget_share * requests * 0.8);
+}
