--- a/Tests/LibRouting/bench_routing.cpp
+++ b/Tests/LibRouting/bench_routing.cpp
@@ -53,8 +53,19 @@
            core::from_seconds(seconds);
 }
 
-using make_router =
-    std::function<std::unique_ptr<routing::router>(core::random_source&)>;
+template <typename Router, typename... Settings>
+std::unique_ptr<routing::router> make(core::random_source& random)
+{
+    return std::make_unique<Router>(Settings()..., random);
+}
+
+template <typename Router>
+std::unique_ptr<routing::router> make_baseline(core::random_source&)
+{
+    return std::make_unique<Router>();
+}
+
+using make_router = std::unique_ptr<routing::router> (*)(core::random_source&);
 
 /// One run of one router on one deployment.
 class simulation
@@ -365,27 +376,18 @@
     void lose_region()
     {
         lost_ = true;
-        std::vector<std::uint64_t> ended;
         for (std::size_t i = 0; i < engines_.size(); i += regions)
         {
-            engine& e = engines_[i];
-            for (const auto& it : e.running)
-            {
-                ended.push_back(it.id);
-            }
-            for (const auto& it : e.queue)
+            engine lost;
+            std::swap(lost, engines_[i]);
+            engines_[i].stepping = lost.stepping;
+            engines_[i].prefilled = lost.prefilled;
+            lost.running.insert(
+                lost.running.end(), lost.queue.begin(), lost.queue.end());
+            for (const engine_call& it : lost.running)
             {
-                ended.push_back(it.id);
+                end(it.id, routing::call_outcome::failed);
             }
-            const std::uint64_t prefilled = e.prefilled;
-            const bool stepping = e.stepping;
-            e = {};
-            e.prefilled = prefilled;
-            e.stepping = stepping;
-        }
-        for (const std::uint64_t id : ended)
-        {
-            end(id, routing::call_outcome::failed);
         }
     }
 
@@ -452,42 +454,37 @@
 
 int main(int argc, char** argv)
 {
-    const int seeds = argc > 1 ? std::max(1, std::atoi(argv[1])) : 5;
+    const unsigned seeds = argc > 1 ? std::max(1, std::atoi(argv[1])) : 5;
+    std::string json;
     const deployment deployments[] = {
         {"valea", 12, 9, 2e9 / 8, 9.0, {0.55, 0.40, 0.05}},
         {"ferreira", 9, 6, 110e6 / 8, 3.0, {0.50, 0.20, 0.30}}};
     const std::pair<const char*, make_router> routers[] = {
-        {"round_robin",
-         [](auto&) {
-             return std::make_unique<routing::round_robin_router>();
-         }},
-        {"least_in_flight",
-         [](auto&) {
-             return std::make_unique<routing::least_in_flight_router>();
-         }},
-        {"expected_time", [](auto& random) {
-             return std::make_unique<routing::expected_time_router>(
-                 routing::expected_time_settings(), random);
-         }}};
-    std::string json;
+        {"round_robin", make_baseline<routing::round_robin_router>},
+        {"least_in_flight", make_baseline<routing::least_in_flight_router>},
+        {"expected_time",
+         make<routing::expected_time_router, routing::expected_time_settings>}};
     for (const deployment& d : deployments)
     {
+        std::printf(
+            "\n%s, %u seeds: mean +- half the range of round robin, least in "
+            "flight, expected time\n",
+            d.name, seeds);
         std::vector<figures> runs[std::size(routers)];
-        std::printf("\n%s, %d seeds: mean +- half the range\n", d.name, seeds);
-        std::printf("%-26s", "");
-        for (std::size_t r = 0; r < std::size(routers); ++r)
+        for (std::uint64_t n = 1; n <= seeds; ++n)
         {
-            std::printf("%21s", routers[r].first);
-            for (std::uint64_t n = 1; n <= static_cast<unsigned>(seeds); ++n)
+            const auto arrivals = draw_arrivals(d, n);
+            for (std::size_t r = 0; r < std::size(routers); ++r)
             {
-                const auto arrivals = draw_arrivals(d, n);
                 runs[r].push_back(
                     simulation(d, arrivals, n, routers[r].second).run());
             }
         }
         for (std::size_t m = 0; m < std::size(measures); ++m)
         {
-            std::printf("\n%-26s", measures[m]);
+            json += core::concat(
+                R"({"deployment":")", d.name, R"(","measure":")", measures[m]);
+            std::printf("%-26s", measures[m]);
             for (std::size_t r = 0; r < std::size(routers); ++r)
             {
                 double sum = 0, least = INFINITY, most = -INFINITY;
@@ -498,15 +495,14 @@
                     most = std::max(most, it[m]);
                 }
                 const double half = (most - least) / 2;
-                std::printf("%12.4f +- %5.3f", sum, half);
+                std::printf("%11.4f +- %5.3f", sum, half);
                 json += core::concat(
-                    json.empty() ? "[" : ",\n", R"({"deployment":")", d.name,
-                    R"(","router":")", routers[r].first, R"(","measure":")",
-                    measures[m], R"(","mean":)", sum, R"(,"half_range":)", half,
-                    "}");
+                    r == 0 ? R"(",")" : R"(,")", routers[r].first, R"(":[)",
+                    sum, ",", half, "]");
             }
+            json += "}\n";
+            std::printf("\n");
         }
-        std::printf("\n");
     }
-    std::printf("\n%s]\n", json.c_str());
+    std::printf("\n%s", json.c_str());
 }
