LibRouting: Use an ejected upstream rather than refuse

Cause: the peers of an ejected upstream can leave after its ejection, and a residency rule can name only its region; then every call was refused although an upstream was there. Change: when no healthy upstream is possible or affordable, the ejected ones are compared in the same way; the reason is last_resort.

--- a/Libraries/LibRouting/expected_time_router.cpp
+++ b/Libraries/LibRouting/expected_time_router.cpp
@@ -162,18 +162,27 @@
     {
         return commit(*it, request, routing_reason::probe, now);
     }
-    std::erase_if(options, [&](const route_option& it) {
-        return ejector_.state(*it.upstream->health, now) !=
-               health_state::healthy;
-    });
-    if (options.empty())
+    const auto ejected = std::stable_partition(
+        options.begin(), options.end(), [&](const route_option& it) {
+            return ejector_.state(*it.upstream->health, now) ==
+                   health_state::healthy;
+        });
+    std::vector<route_option> out(ejected, options.end());
+    options.erase(ejected, options.end());
+    const bool healthy = !options.empty();
+    drop_unaffordable(options, cost_of(request), now);
+    // The peers of an ejected upstream can leave after its ejection. A
+    // doubtful upstream is better than a refusal.
+    const bool last_resort = options.empty();
+    if (last_resort)
     {
-        return result;
+        drop_unaffordable(out, cost_of(request), now);
+        options = std::move(out);
     }
-    drop_unaffordable(options, cost_of(request), now);
     if (options.empty())
     {
-        result.refusal = no_route_reason::link_budget_exhausted;
+        result.refusal =
+            healthy ? no_route_reason::link_budget_exhausted : result.refusal;
         return result;
     }
     const bool only = options.size() == 1;
@@ -186,7 +195,11 @@
                                                request.remote_price_seconds);
     const route_option& it = *spread(options, gain ? *remote : *local);
     routing_reason reason = routing_reason::shortest_expected_time;
-    if (only)
+    if (last_resort)
+    {
+        reason = routing_reason::last_resort;
+    }
+    else if (only)
     {
         reason = routing_reason::only_candidate;
     }
--- a/Libraries/LibRouting/router.hpp
+++ b/Libraries/LibRouting/router.hpp
@@ -28,17 +28,19 @@
     remote_gain,
     probe,
     round_robin,
-    least_in_flight
+    least_in_flight,
+    last_resort ///< Every possible upstream is ejected; this is one of them.
 };
 
-inline constexpr core::enum_table<routing_reason, 7> routing_reason_names{
+inline constexpr core::enum_table<routing_reason, 8> routing_reason_names{
     {{routing_reason::only_candidate, "only_candidate"},
      {routing_reason::shortest_expected_time, "shortest_expected_time"},
      {routing_reason::prefix_affinity, "prefix_affinity"},
      {routing_reason::remote_gain, "remote_gain"},
      {routing_reason::probe, "probe"},
      {routing_reason::round_robin, "round_robin"},
-     {routing_reason::least_in_flight, "least_in_flight"}}};
+     {routing_reason::least_in_flight, "least_in_flight"},
+     {routing_reason::last_resort, "last_resort"}}};
 
 /// Why no upstream was chosen. All of them mean that the call did not run.
 enum class no_route_reason : std::uint8_t
--- a/Tests/LibRouting/expected_time_router.cpp
+++ b/Tests/LibRouting/expected_time_router.cpp
@@ -160,6 +160,29 @@
     CHECK_LT(back.ramp_share, 0.2);
 }
 
+TEST_CASE("an ejected upstream whose peers left is used, not refused")
+{
+    bench it;
+    it.fleet.vms("a", 1).upstreams("a", 3);
+    it.install();
+    const routing_request request = quote();
+    for (int i = 0; i < 200; ++i)
+    {
+        const std::string to = it.must_choose(request).upstream;
+        it.router.finished(
+            to, request, to == "up-a-1" ? failed() : answered(150ms, 1ms),
+            it.now);
+    }
+    REQUIRE_EQ(
+        it.router.belief("up-a-1", it.now).health, health_state::ejected);
+    it.fleet.upstream("up-a-0").state = membership::upstream_state::leaving;
+    it.fleet.upstream("up-a-2").state = membership::upstream_state::leaving;
+    it.install();
+    const route_decision got = it.must_choose(request);
+    CHECK_EQ(got.upstream, "up-a-1");
+    CHECK_EQ(got.reason, routing_reason::last_resort);
+}
+
 TEST_CASE("a probe whose caller went away is repeated, not passed")
 {
     bench it;
