LibRouting: Shorten the experiment

Cause: the program is longer than intended. Change: one record for each call in place of three; faults follow from the time in place of events.

--- a/Tests/LibRouting/bench_model.hpp
+++ b/Tests/LibRouting/bench_model.hpp
@@ -13,7 +13,9 @@
 #include <cmath>
 #include <deque>
 #include <list>
+#include <memory>
 #include <numbers>
+#include <set>
 #include <unordered_map>
 #include <vector>
 
@@ -50,6 +52,7 @@
     int region = 0, vm = 0; // The VM's number among those of the region.
     std::size_t account = 0;
     std::uint32_t answer = 0;
+    bool batch = false;
     routing::routing_request request;
 };
 
@@ -77,8 +80,8 @@
     routing::routing_request& r = it.request;
     r.prompt_tokens = draw(k.prompt_min, k.prompt_max);
     r.answer_limit = k.answer_max;
-    r.priority = kind == 2 ? resource::priority_class::batch
-                           : resource::priority_class::interactive;
+    it.batch = kind == 2;
+    r.priority = static_cast<resource::priority_class>(it.batch);
     // Six templates for each account and kind; the first is the most used.
     const double skew = random.uniform();
     const auto which = static_cast<std::uint64_t>(6 * skew * skew);
@@ -136,102 +139,104 @@
     return all;
 }
 
-struct engine_call
+/// A call that a router has sent to an engine.
+struct call
 {
-    std::uint64_t id = 0;
-    const arrival* source = nullptr;
+    const arrival* source;
+    std::size_t engine, vm;
+    double chosen;
+    bool remote;
+    std::set<std::string> tried;
+    double first = 0, last_token = 0, bytes = 0; // Times; 0: none yet.
     std::uint32_t prefill_left = 0, generated = 0;
-    double last_token = 0; // Time; 0 before the first.
-
-    bool batch() const
-    {
-        return source->request.priority == resource::priority_class::batch;
-    }
 };
+using call_ptr = std::shared_ptr<call>;
 
 class engine
 {
 public:
-    double slowness = 1; // Multiplies the time of a step.
     bool stepping = false;
     std::uint64_t prefilled = 0;                // Prompt tokens computed.
     std::vector<std::uint64_t> stored, evicted; // Since the last cache event.
-    std::deque<engine_call> queue;
-    std::vector<engine_call> running;
+    std::deque<call_ptr> queue;
+    std::vector<call_ptr> running;
 
     std::uint32_t calls() const
     {
         return static_cast<std::uint32_t>(queue.size() + running.size());
     }
 
-    void add(const engine_call& call)
+    void add(const call_ptr& it)
     {
-        const auto is_batch = [](const auto& it) {
-            return it.batch();
+        const auto is_batch = [](const auto& c) {
+            return c->source->batch;
         };
-        queue.insert(
-            call.batch() ? queue.end()
-                         : std::find_if(queue.begin(), queue.end(), is_batch),
-            call);
+        const auto first = std::find_if(queue.begin(), queue.end(), is_batch);
+        queue.insert(it->source->batch ? queue.end() : first, it);
     }
 
-    /// Starts a step and returns its length in seconds.
-    double begin_step()
+    /// Starts a step; returns its length in seconds, times `slowness`.
+    double begin_step(double slowness)
     {
         while (running.size() < engine_capacity && !queue.empty())
         {
-            engine_call it = queue.front();
+            const call_ptr it = queue.front();
             queue.pop_front();
-            it.prefill_left = it.source->request.prompt_tokens;
-            for (const std::uint64_t hash : it.source->request.prefix_hashes)
-            {
-                if (!touch(hash))
-                {
-                    break;
-                }
-                it.prefill_left -= routing::prefix_block_tokens;
-            }
-            it.prefill_left = std::max(1U, it.prefill_left);
+            const routing::routing_request& r = it->source->request;
+            const auto miss = std::find_if_not(
+                r.prefix_hashes.begin(), r.prefix_hashes.end(),
+                [this](std::uint64_t hash) {
+                    return touch(hash);
+                });
+            const auto hits =
+                static_cast<std::uint32_t>(miss - r.prefix_hashes.begin());
+            it->prefill_left = std::max(
+                1U, r.prompt_tokens - hits * routing::prefix_block_tokens);
             running.push_back(it);
         }
         // Milliseconds: fixed, for each sequence that decodes, for each
         // prompt token.
         double ms = 8;
         chunk_ = 0;
-        for (const engine_call& it : running)
+        for (const call_ptr& it : running)
         {
-            ms += it.prefill_left == 0 ? 0.4 : 0;
-            chunk_ = std::min(chunk_ + it.prefill_left, 512U);
+            ms += it->prefill_left == 0 ? 0.4 : 0;
+            chunk_ = std::min(chunk_ + it->prefill_left, 512U);
         }
         return (ms + 0.12 * chunk_) * slowness / 1000;
     }
 
     /// Ends the step at `now`; `on_token` sees every call that got a token.
+    /// Returns the calls that are complete.
     template <typename OnToken>
-    void end_step(double now, OnToken on_token)
+    std::vector<call_ptr> end_step(double now, OnToken on_token)
     {
         prefilled += chunk_;
-        for (engine_call& it : running)
+        std::vector<call_ptr> done;
+        for (const call_ptr& it : running)
         {
-            const std::uint32_t n = std::min(chunk_, it.prefill_left);
-            const bool prefilling = it.prefill_left > 0;
+            const std::uint32_t n = std::min(chunk_, it->prefill_left);
             chunk_ -= n;
-            it.prefill_left -= n;
-            if (it.prefill_left > 0)
+            it->prefill_left -= n;
+            if (it->prefill_left > 0)
             {
                 continue;
             }
-            if (prefilling)
+            if (it->generated++ == 0)
+            {
+                store(it->source->request.prefix_hashes);
+            }
+            on_token(*it);
+            it->last_token = now;
+            if (it->generated >= it->source->answer)
             {
-                store(it.source->request.prefix_hashes);
+                done.push_back(it);
             }
-            ++it.generated;
-            on_token(it);
-            it.last_token = now;
         }
-        std::erase_if(running, [](const engine_call& it) {
-            return it.generated >= it.source->answer;
+        std::erase_if(running, [](const call_ptr& it) {
+            return it->generated >= it->source->answer;
         });
+        return done;
     }
 
 private:
--- a/Tests/LibRouting/bench_routing.cpp
+++ b/Tests/LibRouting/bench_routing.cpp
@@ -118,28 +118,14 @@
         }
         for (std::size_t i = 0; i < engines_.size(); ++i)
         {
-            when(random_.uniform(), [this, i] {
-                report(i);
-            });
+            when(
+                random_.uniform(),
+                std::bind_front(&simulation::report, this, i));
         }
-        when(0, [this] {
-            refresh();
-        });
-        when(slow_from, [this] {
-            engines_[1].slowness = 4;
-        });
-        when(slow_until, [this] {
-            engines_[1].slowness = 1;
-        });
-        when(lost_at, [this] {
-            lose_region();
-        });
-        when(lost_at + lease_seconds, [this] {
-            listed_ = false;
-        });
-        when(back_at, [this] {
-            return_region();
-        });
+        when(0, std::bind_front(&simulation::refresh, this));
+        when(lost_at, std::bind_front(&simulation::lose_region, this));
+
+        when(back_at, std::bind_front(&simulation::return_region, this));
         while (events_.top().time < day_seconds + patience)
         {
             const event it = events_.top();
@@ -163,17 +149,6 @@
         }
     };
 
-    /// A call that a router has sent.
-    struct sent
-    {
-        const arrival* source;
-        std::size_t engine, vm;
-        double chosen;
-        bool remote;
-        std::set<std::string> tried;
-        double first = 0, bytes = 0;
-    };
-
     void when(double time, std::function<void()> run)
     {
         events_.push({time, order_++, std::move(run)});
@@ -205,9 +180,7 @@
                 }
             });
         }
-        when(now_ + 0.5, [this, i] {
-            report(i);
-        });
+        when(now_ + 0.5, std::bind_front(&simulation::report, this, i));
     }
 
     /// Publishes a new view to every VM: full reports of its own region, one
@@ -235,13 +208,12 @@
                 }
             }
             std::erase_if(view->upstreams, [&](const auto& it) {
-                return !listed_ && it.second.region == "r0";
+                return now_ >= lost_at + lease_seconds && now_ < back_at &&
+                       it.second.region == "r0";
             });
             routers_[vm]->update(view, configuration_, at(now_));
         }
-        when(now_ + 0.5, [this] {
-            refresh();
-        });
+        when(now_ + 0.5, std::bind_front(&simulation::refresh, this));
     }
 
     void submit(const arrival& it, std::set<std::string> tried)
@@ -264,41 +236,37 @@
         }
         const std::size_t i = numbers_[got.decision.upstream];
         const int region = static_cast<int>(i % regions);
-        const std::uint64_t id = order_;
         const bool remote = region != it.region;
-        sent& s = calls_[id] = {&it, i, vm, now_, remote, std::move(tried)};
+        const auto c = std::make_shared<call>(
+            call{&it, i, vm, now_, remote, std::move(tried)});
         double arrives = now_ + 0.001;
         if (remote)
         {
-            s.bytes = it.request.prompt_tokens * 5.0;
+            c->bytes = it.request.prompt_tokens * 5.0;
             double& busy = link_busy_[{it.region, region}];
-            busy = std::max(busy, now_) + s.bytes / d_.link_bytes_per_second;
+            busy = std::max(busy, now_) + c->bytes / d_.link_bytes_per_second;
             arrives = busy + far_seconds;
         }
         ++chosen_;
         remote_ += remote ? 1 : 0;
-        when(arrives, [this, id] {
-            arrive(id);
+        when(arrives, [this, c] {
+            arrive(c);
         });
     }
 
-    void arrive(std::uint64_t id)
+    void arrive(const call_ptr& it)
     {
-        const sent& s = calls_[id];
-        engine& e = engines_[s.engine];
-        if (lost_ && s.engine % regions == 0)
-        {
-            end(id, routing::call_outcome::failed);
-        }
-        else if (e.queue.size() >= 3 * engine_capacity)
+        engine& e = engines_[it->engine];
+        const bool lost =
+            now_ >= lost_at && now_ < back_at && it->engine % regions == 0;
+        if (lost || e.queue.size() >= 3 * engine_capacity)
         {
-            end(id, routing::call_outcome::rejected_full);
-        }
-        else
-        {
-            e.add({id, s.source});
-            step(s.engine);
+            end(*it, lost ? routing::call_outcome::failed
+                          : routing::call_outcome::rejected_full);
+            return;
         }
+        e.add(it);
+        step(it->engine);
     }
 
     void step(std::size_t i)
@@ -309,73 +277,67 @@
             return;
         }
         e.stepping = true;
-        when(now_ + e.begin_step(), [this, i, &e] {
+        const bool slow = i == 1 && now_ >= slow_from && now_ < slow_until;
+        when(now_ + e.begin_step(slow ? 4 : 1), [this, i, &e] {
             e.stepping = false;
-            std::vector<std::uint64_t> done;
-            e.end_step(now_, [&](const engine_call& it) {
+            const auto done = e.end_step(now_, [this](call& it) {
                 on_token(it);
-                if (it.generated >= it.source->answer)
-                {
-                    done.push_back(it.id);
-                }
             });
-            for (const std::uint64_t id : done)
+            for (const call_ptr& it : done)
             {
-                end(id, routing::call_outcome::completed);
+                end(*it, routing::call_outcome::completed);
             }
             step(i);
         });
     }
 
-    void on_token(const engine_call& it)
+    void on_token(call& it)
     {
-        sent& s = calls_[it.id];
-        s.bytes += s.remote ? 180 : 0;
+        it.bytes += it.remote ? 180 : 0;
         if (it.last_token > 0)
         {
             gaps_.push_back(now_ - it.last_token);
             return;
         }
-        s.first = now_ + (s.remote ? far_seconds : 0.001);
-        routers_[s.vm]->first_token(
-            core::concat("engine", s.engine), it.source->request,
-            core::from_seconds(s.first - s.chosen), at(now_));
-        const double waited = s.first - it.source->time;
-        if (it.source->time > warm_up)
+        const arrival& source = *it.source;
+        it.first = now_ + (it.remote ? far_seconds : 0.001);
+        routers_[it.vm]->first_token(
+            core::concat("engine", it.engine), source.request,
+            core::from_seconds(it.first - it.chosen), at(now_));
+        if (source.time > warm_up)
         {
-            (it.batch() ? batch_ : interactive_).push_back(waited);
-            by_account_[it.source->account].push_back(waited);
+            const double waited = it.first - source.time;
+            (source.batch ? batch_ : interactive_).push_back(waited);
+            by_account_[source.account].push_back(waited);
         }
     }
 
-    void end(std::uint64_t id, routing::call_outcome outcome)
+    void end(const call& it, routing::call_outcome outcome)
     {
-        const sent s = calls_[id];
-        calls_.erase(id);
-        const double first = s.first > 0 ? s.first - s.chosen : 0;
-        const std::string name = core::concat("engine", s.engine);
-        routers_[s.vm]->finished(
-            name, s.source->request,
+        const double first = it.first > 0 ? it.first - it.chosen : 0;
+        const std::string name = core::concat("engine", it.engine);
+        routers_[it.vm]->finished(
+            name, it.source->request,
             {outcome, core::from_seconds(first),
-             core::from_seconds(now_ - s.chosen), s.source->answer,
-             static_cast<std::uint64_t>(s.bytes)},
+             core::from_seconds(now_ - it.chosen), it.source->answer,
+             static_cast<std::uint64_t>(it.bytes)},
             at(now_));
-        link_bytes_ += s.bytes;
+        link_bytes_ += it.bytes;
         if (outcome == routing::call_outcome::completed)
         {
             ++completed_;
             return;
         }
-        auto tried = s.tried;
+        const arrival& source = *it.source;
+        auto tried = it.tried;
         tried.insert(name);
-        when(now_ + 0.025 * (1 + random_.uniform()), [=, this] {
-            submit(*s.source, tried);
+        when(now_ + 0.025 * (1 + random_.uniform()), [=, this, &source] {
+            submit(source, tried);
         });
     }
 
     void lose_region()
     {
-        lost_ = true;
         for (std::size_t i = 0; i < engines_.size(); i += regions)
         {
             engine lost;
@@ -384,17 +346,15 @@
             engines_[i].prefilled = lost.prefilled;
             lost.running.insert(
                 lost.running.end(), lost.queue.begin(), lost.queue.end());
-            for (const engine_call& it : lost.running)
+            for (const call_ptr& it : lost.running)
             {
-                end(it.id, routing::call_outcome::failed);
+                end(*it, routing::call_outcome::failed);
             }
         }
     }
 
     void return_region()
     {
-        lost_ = false;
-        listed_ = true;
         for (auto& [id, it] : fleet_.upstreams)
         {
             it.incarnation += it.region == "r0" ? 1 : 0;
@@ -441,9 +401,6 @@
     std::priority_queue<event> events_;
     std::uint64_t order_ = 0;
     double now_ = 0;
-    bool lost_ = false;  // Region 0 has no engines,
-    bool listed_ = true; // and the views show it.
-    std::unordered_map<std::uint64_t, sent> calls_;
     std::map<std::pair<int, int>, double> link_busy_;
     std::vector<double> interactive_, batch_, gaps_;
     std::array<std::vector<double>, 5> by_account_;
