--- a/Tests/LibRouting/expected_time_router.cpp
+++ b/Tests/LibRouting/expected_time_router.cpp
@@ -160,6 +160,29 @@
     CHECK_LT(back.ramp_share, 0.2);
 }
 
+TEST_CASE("an ejected upstream whose peers left is used, not refused")
+{
+    bench it;
+    it.fleet.vms("a", 1).upstreams("a", 3);
+    it.install();
+    const routing_request request = quote();
+    for (int i = 0; i < 200; ++i)
+    {
+        const std::string to = it.must_choose(request).upstream;
+        it.router.finished(
+            to, request, to == "up-a-1" ? failed() : answered(150ms, 1ms),
+            it.now);
+    }
+    REQUIRE_EQ(
+        it.router.belief("up-a-1", it.now).health, health_state::ejected);
+    it.fleet.upstream("up-a-0").state = membership::upstream_state::leaving;
+    it.fleet.upstream("up-a-2").state = membership::upstream_state::leaving;
+    it.install();
+    const route_decision got = it.must_choose(request);
+    CHECK_EQ(got.upstream, "up-a-1");
+    CHECK_EQ(got.reason, routing_reason::last_resort);
+}
+
 TEST_CASE("a probe whose caller went away is repeated, not passed")
 {
     bench it;
@@ -185,6 +208,29 @@
     CHECK_EQ(it.router.belief("up-a-1", it.now).health, health_state::probing);
 }
 
+TEST_CASE("a slow upstream is avoided from its first tokens on, not only "
+          "when its calls end")
+{
+    bench it;
+    it.fleet.vms("a", 1).upstreams("a", 3, 1000);
+    it.install();
+    int late_to_slow = 0;
+    // Different prompts, so that each announcement meets its own call.
+    for (std::uint32_t i = 0; i < 150; ++i)
+    {
+        const routing_request request = quote(400 + i);
+        const std::string to = it.must_choose(request).upstream;
+        const core::duration first = to == "up-a-1" ? 4s : 150ms;
+        it.now += first;
+        it.router.first_token(to, request, first, it.now);
+        late_to_slow += i >= 50 && to == "up-a-1" ? 1 : 0;
+    }
+    CHECK_LT(late_to_slow, 10); // A third of 100 would be its even part.
+    CHECK_GT(
+        it.router.belief("up-a-1", it.now).rates.seconds_per_prompt_token,
+        3 * it.router.belief("up-a-0", it.now).rates.seconds_per_prompt_token);
+}
+
 TEST_CASE("an upstream that refused for load is left alone for a moment")
 {
     bench it;
