--- a/Libraries/LibAdmission/concurrency_limit.cpp
+++ b/Libraries/LibAdmission/concurrency_limit.cpp
@@ -12,9 +12,11 @@
 constexpr double present_weight = 0.1;
 
 // The usual latency falls at once and rises by this part of the difference
-// with each call, so that a lasting change, such as another model, is learned
-// after some hundreds of calls.
+// with each call. While the limit is used it rises much more slowly: queueing
+// at the upstream must not become usual, but a lasting change, such as another
+// model, has to be learned after some thousands of calls.
 constexpr double usual_rise = 0.002;
+constexpr double usual_rise_when_used = 0.0001;
 
 constexpr double overload_factor = 0.8;
 constexpr double aimd_factor = 0.5;
@@ -46,6 +48,7 @@
     core::time_point now)
 {
     const double seconds = core::to_seconds(latency);
+    const bool is_used = in_flight * 2.0 >= limit_;
     if (seconds > 0 && !overloaded)
     {
         present_ = present_ <= 0
@@ -53,9 +56,9 @@
                        : present_ + present_weight * (seconds - present_);
         usual_ = usual_ <= 0 || seconds < usual_
                      ? seconds
-                     : usual_ + usual_rise * (seconds - usual_);
+                     : usual_ + (is_used ? usual_rise_when_used : usual_rise) *
+                                    (seconds - usual_);
     }
-    const bool is_used = in_flight * 2.0 >= limit_;
     const bool is_late = present_ > settings_.tolerance * usual_;
     if (overloaded)
     {
@@ -75,8 +78,13 @@
         const double gradient = std::clamp(
             settings_.tolerance * usual_ / present_, lowest_gradient, 1.0);
         const double target = limit_ * gradient + std::sqrt(limit_);
-        if (target < limit_ || is_used)
+        if (target < limit_)
+        {
+            limit_ += gradient_weight * (target - limit_);
+        }
+        else if (is_used)
         {
+            // Slower than the fall, since latency follows growth late.
             limit_ += gradient_weight * (target - limit_) / std::sqrt(limit_);
         }
     }
