--- a/Libraries/LibRate/lease_holder.cpp
+++ b/Libraries/LibRate/lease_holder.cpp
@@ -12,7 +12,7 @@
 // A rise of demand is followed within two requests; a fall slowly, because a
 // share given up too early has to be earned back without credit.
 constexpr double rise_weight = 0.6;
-constexpr double fall_seconds = 8.0;
+constexpr double fall_seconds = 4.0;
 
 // Demand below this part of the floor needs no lease and is not named.
 constexpr double floor_use_without_lease = 0.5;
