LibRate: Name only accounts with demand above 3% of the rate

Cause: at 350 VMs floors are so small that an account was named for half a minute after its last request.

--- a/Libraries/LibRate/lease_holder.cpp
+++ b/Libraries/LibRate/lease_holder.cpp
@@ -17,6 +17,10 @@
 // Demand below this part of the floor needs no lease and is not named.
 constexpr double floor_use_without_lease = 0.5;
 
+// Nor does demand below this part of the rate: with floors as small as at 350
+// VMs every account would otherwise be named long after its last request.
+constexpr double rate_use_without_lease = 0.03;
+
 // Bounds the messages that refusals can cause.
 constexpr core::duration early_request_interval =
     std::chrono::milliseconds(200);
@@ -137,11 +141,13 @@
     {
         advance(it, now);
         update_demand(it, seconds);
-        const double floor_rate = it.floor * it.declared.tokens_per_second;
+        const double enough =
+            std::max(
+                floor_use_without_lease * it.floor, rate_use_without_lease) *
+            it.declared.tokens_per_second;
         const double returned = std::exchange(it.dropped, 0.0);
         if (name.size() > max_account_name ||
-            (it.demand <= floor_use_without_lease * floor_rate &&
-             returned <= 0))
+            (it.demand <= enough && returned <= 0))
         {
             continue;
         }
