--- a/Libraries/LibMembership/broadcast_queue.hpp
+++ b/Libraries/LibMembership/broadcast_queue.hpp
@@ -82,7 +82,7 @@
     }
 
 private:
-    const std::size_t bound_;
+    std::size_t bound_;
     std::map<Key, std::size_t> items_; // Times sent; at most bound_ items.
 };
 
--- a/Libraries/LibMembership/failure_detector.cpp
+++ b/Libraries/LibMembership/failure_detector.cpp
@@ -9,6 +9,9 @@
 
 namespace {
 
+// Relays last one probe period, in which a VM gets few of them.
+constexpr std::size_t max_relays = 256;
+
 bool is_live(const member& it)
 {
     return it.record.state != vm_state::dead;
@@ -259,7 +262,7 @@
     const std::string& requester, const std::string& requester_address,
     const ping_request& it, core::time_point now)
 {
-    if (relays_.size() >= max_relays_ || it.target == table_.self().id)
+    if (relays_.size() >= max_relays || it.target == table_.self().id)
     {
         return std::nullopt;
     }
--- a/Libraries/LibMembership/failure_detector.hpp
+++ b/Libraries/LibMembership/failure_detector.hpp
@@ -125,17 +125,15 @@
     void rejoin(core::time_point now, std::vector<probe_action>& out);
     const member* next_target();
 
-    static constexpr std::size_t max_relays_ = 256;
-
-    const std::vector<std::string> seeds_;
-    const detector_timing timing_;
+    std::vector<std::string> seeds_;
+    detector_timing timing_;
     core::random_source& random_;
     member_table table_;
     std::vector<std::string> order_; // Of probes; shuffled in each round.
     std::size_t next_in_order_ = 0;
     std::uint64_t next_probe_;
     std::map<std::uint64_t, probe_in_flight> probes_; // At most one a period.
-    std::map<std::uint64_t, relay_in_flight> relays_; // At most max_relays_.
+    std::map<std::uint64_t, relay_in_flight> relays_; // At most max_relays.
     std::optional<core::time_point> last_tick_;
     core::time_point started_{};
     core::time_point next_period_{};
--- a/Libraries/LibMembership/fleet_member.hpp
+++ b/Libraries/LibMembership/fleet_member.hpp
@@ -172,14 +172,12 @@
     void take_records(const state_sync& it, core::time_point now);
     void on_synced(const member_update& with);
 
-    static constexpr std::size_t max_regions_ = 32;
-
-    const member_options options_;
+    member_options options_;
     core::random_source& random_;
     failure_detector detector_;
     upstream_registry upstreams_;
     withdrawal_set withdrawals_;
-    std::map<std::string, region_summary> regions_; // At most max_regions_.
+    std::map<std::string, region_summary> regions_; // At most max_regions.
     std::vector<outgoing_message> outgoing_;        // Bounded by the input.
     std::vector<member_event> events_;              // Likewise.
     member_counters counters_;
--- a/Libraries/LibMembership/fleet_member_news.cpp
+++ b/Libraries/LibMembership/fleet_member_news.cpp
@@ -14,6 +14,7 @@
 constexpr std::size_t bucket_bytes = 7;
 // Lists of a valid message hold at most 64 elements.
 constexpr std::size_t max_updates = 32;
+constexpr std::size_t max_regions = 32;
 constexpr std::size_t news_factor = 4;
 // Withdrawals must arrive within seconds, so they are repeated more often.
 constexpr std::size_t withdrawal_factor = 6;
@@ -238,7 +239,7 @@
         const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(
                              now - it.measured)
                              .count();
-        constexpr std::int64_t oldest = 3600 * 1000;
+        constexpr std::int64_t oldest = 3600000;
         if (age < oldest)
         {
             out.push_back(
@@ -254,7 +255,7 @@
 void fleet_member::take_summary(const summary_update& it, core::time_point now)
 {
     if (it.region == options_.self.region ||
-        (regions_.size() >= max_regions_ && regions_.count(it.region) == 0))
+        (regions_.size() >= max_regions && regions_.count(it.region) == 0))
     {
         return;
     }
--- a/Libraries/LibMembership/member_table.hpp
+++ b/Libraries/LibMembership/member_table.hpp
@@ -122,7 +122,7 @@
     void set_state(member& it, vm_state state, core::time_point now);
 
     vm_record self_;
-    const core::duration suspicion_;
+    core::duration suspicion_;
     std::map<std::string, member> members_; // At most bound, without self.
     std::uint64_t changes_ = 0;
     std::size_t live_ = 0; // Members of members_ that aren't dead.
--- a/Libraries/LibMembership/upstream_registry.hpp
+++ b/Libraries/LibMembership/upstream_registry.hpp
@@ -128,7 +128,7 @@
     void extend(entry& it, std::uint64_t sequence, core::time_point now);
     void describe(entry& it, const upstream_update& news);
 
-    const std::string region_;
+    std::string region_;
     std::map<std::string, entry> entries_; // At most bound.
     std::array<live_bucket, bucket_count> buckets_;
     std::uint64_t changes_ = 0;
--- a/Libraries/LibWire/asio_transport.cpp
+++ b/Libraries/LibWire/asio_transport.cpp
@@ -164,11 +164,12 @@
 absl::Status asio_transport::set_keys(fleet_keys keys)
 {
     auto codec = frame_codec::create(std::move(keys));
-    if (codec.ok())
+    if (!codec.ok())
     {
-        codec_ = *std::move(codec);
+        return codec.status();
     }
-    return codec.status();
+    codec_ = *std::move(codec);
+    return absl::OkStatus();
 }
 
 void asio_transport::close()
--- a/Libraries/LibWire/peer_connection.hpp
+++ b/Libraries/LibWire/peer_connection.hpp
@@ -97,9 +97,9 @@
     std::string send_binding() const;
 
     connection_owner* owner_; // Null once closed.
-    const std::uint64_t id_;
+    std::uint64_t id_;
     tcp::socket socket_;
-    const std::string dialled_;
+    std::string dialled_;
     boost::asio::steady_timer deadline_; // Handshake, frame in progress, idle.
     boost::asio::steady_timer write_deadline_;
     std::string own_nonce_;
--- a/Libraries/LibWire/replay_window.hpp
+++ b/Libraries/LibWire/replay_window.hpp
@@ -45,7 +45,7 @@
         std::bitset<width> seen; // Bit n: sequence `highest - n` was seen.
     };
 
-    const std::size_t max_senders_;
+    std::size_t max_senders_;
     std::map<std::string, window> senders_; // At most max_senders_.
 };
 
