LibWire: Let the owner forget the replay window of a departed VM

Windows are kept for 1,024 senders and never evicted, so about two weeks of replaced VMs would have filled them and shut new VMs out.

--- a/Libraries/LibWire/asio_transport.cpp
+++ b/Libraries/LibWire/asio_transport.cpp
@@ -261,6 +261,11 @@
         return it_->set_keys(std::move(keys));
     }
 
+    void forget_sender(const std::string& sender) override
+    {
+        it_->forget_sender(sender);
+    }
+
     const std::string& address() const override
     {
         return it_->address();
--- a/Libraries/LibWire/peer_transport.hpp
+++ b/Libraries/LibWire/peer_transport.hpp
@@ -97,6 +97,10 @@
     /// frame_codec::create().
     virtual absl::Status set_keys(fleet_keys keys) = 0;
 
+    /// Forgets the replay window of a VM that has left for good. Windows are
+    /// kept for 1,024 senders; datagrams of further ones are dropped.
+    virtual void forget_sender(const std::string& /*sender*/) {}
+
     /// The address under which peers reach this VM.
     virtual const std::string& address() const = 0;
 
--- a/Libraries/LibWire/transport_impl.hpp
+++ b/Libraries/LibWire/transport_impl.hpp
@@ -67,6 +67,12 @@
         const reply_token& to, message_type type,
         const std::string& payload) override;
     absl::Status set_keys(fleet_keys keys) override;
+
+    void forget_sender(const std::string& sender) override
+    {
+        replays_.forget(sender);
+    }
+
     void close() override;
 
     const std::string& address() const override
--- a/Tests/LibWire/transport_faults.cpp
+++ b/Tests/LibWire/transport_faults.cpp
@@ -129,6 +129,12 @@
         return a->drops(drop_reason::replayed) == 1;
     }));
     CHECK_EQ(a->received.size(), 1);
+    // Forgetting a sender reaches its window.
+    a->transport->forget_sender("bare");
+    send(frame(to));
+    REQUIRE(bench.until([&] {
+        return a->received.size() == 2;
+    }));
     CHECK_EQ(a->drops(drop_reason::forged), 2);
     CHECK_EQ(a->drops(drop_reason::truncated), 1);
     CHECK_EQ(a->drops(drop_reason::bad_magic), 1);
