LibMembership: Share the room for news between members and upstreams

A trace showed 85 upstream updates of the cold start still queued after 60 s: upstream news came first and took the whole room, so members had none.

--- a/Libraries/LibMembership/fleet_member_news.cpp
+++ b/Libraries/LibMembership/fleet_member_news.cpp
@@ -85,6 +85,30 @@
             }
             return fits;
         });
+    // News of members and of upstreams don't starve each other while a backlog
+    // of one kind is sent, for example after a cold start.
+    byte_budget of_members(changes.left() / 2);
+    const auto member_share = of_members.left();
+    auto& table = detector_.table();
+    table.queue().transmit(
+        retransmit_limit(vms, news_factor), [&](const std::string& id) {
+            // Every message has the sender's own record already.
+            const auto* it = table.find(id);
+            if (it == nullptr)
+            {
+                return id != table.self().id || vms == 1;
+            }
+            const bool brief = it->record.state != vm_state::alive;
+            auto update = table.update_of(*it, brief);
+            const bool fits = out.members.size() < max_updates &&
+                              of_members.take(encoded_size(update));
+            if (fits)
+            {
+                out.members.push_back(std::move(update));
+            }
+            return fits;
+        });
+    changes.take(member_share - of_members.left());
     upstreams_.queue().transmit(
         retransmit_limit(vms, news_factor), [&](const std::string& id) {
             const auto* it = upstreams_.find(id);
@@ -107,25 +131,6 @@
             }
             return fits;
         });
-    auto& table = detector_.table();
-    table.queue().transmit(
-        retransmit_limit(vms, news_factor), [&](const std::string& id) {
-            // Every message has the sender's own record already.
-            const auto* it = table.find(id);
-            if (it == nullptr)
-            {
-                return id != table.self().id || vms == 1;
-            }
-            const bool brief = it->record.state != vm_state::alive;
-            auto update = table.update_of(*it, brief);
-            const bool fits = out.members.size() < max_updates &&
-                              changes.take(encoded_size(update));
-            if (fits)
-            {
-                out.members.push_back(std::move(update));
-            }
-            return fits;
-        });
     byte_budget rest(changes.left() + reserved);
     for (std::size_t n = 0; n < bucket_count; ++n)
     {
--- a/Libraries/LibMembership/upstream_registry.cpp
+++ b/Libraries/LibMembership/upstream_registry.cpp
@@ -208,6 +208,7 @@
         return false;
     }
     bool changed = newer_life;
+    bool revived = false;
     if (known == nullptr && (known = add(it.id)) == nullptr)
     {
         return false;
@@ -243,13 +244,15 @@
     {
         const auto before = known->record.state;
         extend(*known, it.sequence, now);
-        changed = changed || before != known->record.state;
+        revived = before != known->record.state;
     }
+    // A lease that had ended here only is no news to others, and would take
+    // the place of news of members.
     if (changed)
     {
         queue_.push(it.id);
     }
-    return changed;
+    return changed || revived;
 }
 
 bool upstream_registry::tick(core::time_point now)
