--- a/Libraries/LibMembership/fleet_member_news.cpp
+++ b/Libraries/LibMembership/fleet_member_news.cpp
@@ -14,6 +14,7 @@
 constexpr std::size_t bucket_bytes = 7;
 // Lists of a valid message hold at most 64 elements.
 constexpr std::size_t max_updates = 32;
+constexpr std::size_t max_regions = 32;
 constexpr std::size_t news_factor = 4;
 // Withdrawals must arrive within seconds, so they are repeated more often.
 constexpr std::size_t withdrawal_factor = 6;
@@ -84,6 +85,30 @@
             }
             return fits;
         });
+    // News of members and of upstreams don't starve each other while a backlog
+    // of one kind is sent, for example after a cold start.
+    byte_budget of_members(changes.left() / 2);
+    const auto member_share = of_members.left();
+    auto& table = detector_.table();
+    table.queue().transmit(
+        retransmit_limit(vms, news_factor), [&](const std::string& id) {
+            // Every message has the sender's own record already.
+            const auto* it = table.find(id);
+            if (it == nullptr)
+            {
+                return id != table.self().id || vms == 1;
+            }
+            const bool brief = it->record.state != vm_state::alive;
+            auto update = table.update_of(*it, brief);
+            const bool fits = out.members.size() < max_updates &&
+                              of_members.take(encoded_size(update));
+            if (fits)
+            {
+                out.members.push_back(std::move(update));
+            }
+            return fits;
+        });
+    changes.take(member_share - of_members.left());
     upstreams_.queue().transmit(
         retransmit_limit(vms, news_factor), [&](const std::string& id) {
             const auto* it = upstreams_.find(id);
@@ -106,25 +131,6 @@
             }
             return fits;
         });
-    auto& table = detector_.table();
-    table.queue().transmit(
-        retransmit_limit(vms, news_factor), [&](const std::string& id) {
-            // Every message has the sender's own record already.
-            const auto* it = table.find(id);
-            if (it == nullptr)
-            {
-                return id != table.self().id || vms == 1;
-            }
-            const bool brief = it->record.state != vm_state::alive;
-            auto update = table.update_of(*it, brief);
-            const bool fits = out.members.size() < max_updates &&
-                              changes.take(encoded_size(update));
-            if (fits)
-            {
-                out.members.push_back(std::move(update));
-            }
-            return fits;
-        });
     byte_budget rest(changes.left() + reserved);
     for (std::size_t n = 0; n < bucket_count; ++n)
     {
@@ -238,7 +244,7 @@
         const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(
                              now - it.measured)
                              .count();
-        constexpr std::int64_t oldest = 3600 * 1000;
+        constexpr std::int64_t oldest = 3600000;
         if (age < oldest)
         {
             out.push_back(
@@ -254,7 +260,7 @@
 void fleet_member::take_summary(const summary_update& it, core::time_point now)
 {
     if (it.region == options_.self.region ||
-        (regions_.size() >= max_regions_ && regions_.count(it.region) == 0))
+        (regions_.size() >= max_regions && regions_.count(it.region) == 0))
     {
         return;
     }
