LibConsensus: Tell followers the declared voters

Cause: after the leader of a new fleet was killed, no replica stood for election: for 60 s no change and no order was accepted. Only the replica that formed the cluster held the declared voters; the others took its appends from index 0 on without them, so their membership was empty. Ruled out: lost messages, stuck timers (ticks and metrics went on), pre-vote. Change: an append that starts at index 0 carries the declared voters, and a replica without any adopts them or rejects the append.

--- a/Libraries/LibConsensus/consensus_node.hpp
+++ b/Libraries/LibConsensus/consensus_node.hpp
@@ -266,6 +266,7 @@
     void on(replica_id from, const append_response& it);
     void on_rejected(peer_progress& peer, const append_response& it);
     bool take_entries(const append_request& it);
+    bool adopt_founding(const append_request& it);
     void respond(replica_id to, std::uint64_t read_round);
     void reject(replica_id to, const append_request& it);
     void replicate(replica_id to, peer_progress& peer, bool heartbeat);
@@ -294,8 +295,9 @@
     replica_id leader_ = 0;
     memory_log log_;
     membership_history members_;
-    snapshot base_;         // Its position is that of log_.base().
-    bool has_base_ = false; // False until bootstrap or the first snapshot.
+    snapshot base_; // Its position is that of log_.base().
+    // False until bootstrap, the first append or the first snapshot.
+    bool has_base_ = false;
 
     // base <= commit <= last; given_out <= commit.
     std::uint64_t commit_index_ = 0;
--- a/Libraries/LibConsensus/consensus_node_replication.cpp
+++ b/Libraries/LibConsensus/consensus_node_replication.cpp
@@ -59,6 +59,10 @@
     {
         return false;
     }
+    if (!has_base_ && !adopt_founding(it))
+    {
+        return false;
+    }
     auto members = found.begin();
     for (const auto& entry : it.entries)
     {
@@ -83,6 +87,24 @@
     return true;
 }
 
+/// Without the declared voters a replica would take entries and never stand
+/// for election. False if the request does not hold them: the leader then goes
+/// back to the first entry.
+bool consensus_node::adopt_founding(const append_request& it)
+{
+    const bool valid = it.previous.index == 0 && !it.founding.voters.empty() &&
+                       it.founding.voters.size() <= max_replicas;
+    if (!valid)
+    {
+        return false;
+    }
+    base_.members = it.founding;
+    members_.reset(0, base_.members);
+    has_base_ = true;
+    base_dirty_ = true;
+    return true;
+}
+
 void consensus_node::respond(replica_id to, std::uint64_t read_round)
 {
     append_response it;
@@ -243,6 +265,10 @@
     it.previous = {peer.next_index - 1, *log_.term_at(peer.next_index - 1)};
     it.commit_index = commit_index_;
     it.read_round = read_round_;
+    if (it.previous.index == 0)
+    {
+        it.founding = base_.members;
+    }
     if (with_entries)
     {
         it.entries = log_.slice(peer.next_index, options_.max_append_bytes);
--- a/Libraries/LibConsensus/messages.hpp
+++ b/Libraries/LibConsensus/messages.hpp
@@ -46,12 +46,16 @@
     std::uint64_t commit_index = 0;
     std::uint64_t read_round = 0; ///< Latest round of reads to confirm.
     std::vector<log_entry> entries;
+    /// The declared voters of the cluster, if `previous` is index 0: a replica
+    /// that was not given the declaration itself learns it so.
+    membership founding = {};
 };
 
 template <typename Archive>
 void serialize(Archive& ar, append_request& it)
 {
-    ar(it.term, it.previous, it.commit_index, it.read_round, it.entries);
+    ar(it.term, it.previous, it.commit_index, it.read_round, it.entries,
+       it.founding);
 }
 
 struct append_response
