Tests: Allow a broken stream to end for lack of retry budget

Cause: streams_resume failed in 1 of 3 runs on a busy machine: one of 12 streams was not resumed. The metrics show the decision budget_exhausted: four streams broke before the engine was ejected, and the budget is 10% of the requests and 3 in 10 s. Change: the check counts these decisions; a stream that is not resumed must end in an error event after a prefix in order, and for no other reason. Conclusion: the case is allowed by the retry budget of the design.

--- a/Tests/Processes/streams_resume.sh
+++ b/Tests/Processes/streams_resume.sh
@@ -18,17 +18,37 @@
 check_soon 20 "both engines of the breaking model are known" both_known
 check_soon 20 "the other models are known" known crossed
 
+# budget_refusals: streams that VM 1 did not resume for lack of retry budget.
+budget_refusals() {
+    curl -s -m 5 "http://$(fleet_http 1)/metrics" |
+        sed -n 's/^hyssoploft_retry_decisions_total{reason="budget_exhausted"} //p' | grep . || echo 0
+}
+resumed() {
+    curl -s -m 5 "http://$(fleet_http 1)/metrics" |
+        sed -n 's/^hyssoploft_streams_resumed_total //p' | grep . || echo 0
+}
+# The budget of 10% of the requests and 3 in 10 s can end before the breaking
+# engine is ejected. A stream that is not resumed for that reason has to end in
+# an error event; each other one has to be whole.
+answers=12
+all="0 1 2 3 4 5 6 7 8 9 10 11 12 13 14 15 "
+before=$(budget_refusals)
 whole=0
-for ((i = 0; i < 12; i++)); do
+ended=0
+for ((i = 0; i < answers; i++)); do
     answer=$(fleet_streamed=true fleet_tokens=16 fleet_chat 1 breaking)
     tokens=$(echo "$answer" | grep -o '"content":"t[0-9]*' | grep -o '[0-9]*$' | tr '\n' ' ')
-    if [ "$tokens" = "0 1 2 3 4 5 6 7 8 9 10 11 12 13 14 15 " ] && [[ "$answer" == *'[DONE]'* ]]; then
+    if [ "$tokens" = "$all" ] && [[ "$answer" == *'[DONE]'* ]]; then
         whole=$((whole + 1))
+    elif [[ "$all" == "$tokens"* ]] && [[ "$answer" == *'"reason":"stream_broken"'* ]] && [[ "$answer" != *'[DONE]'* ]]; then
+        ended=$((ended + 1))
     else
         echo "tokens: $tokens"
     fi
 done
-check "every answer is whole, each token once ($whole of 12)" [ "$whole" -eq 12 ]
+check "every answer is whole with each token once, or ends in an error ($whole and $ended)" [ $((whole + ended)) -eq "$answers" ]
+check "streams end in an error only for lack of retry budget" [ "$ended" -eq $(($(budget_refusals) - before)) ]
+check "streams were resumed ($(resumed))" [ "$(resumed)" -ge 1 ]
 
 code=0
 answer=$(fleet_streamed=true fleet_chat 1 cut) || code=$?
