--- /dev/null
+++ b/Meta/CMake/package.cmake
@@ -0,0 +1,15 @@
+# A Debian package of both programs: cpack --config Build/release/CPackConfig.cmake
+set(CPACK_GENERATOR DEB)
+set(CPACK_PACKAGE_NAME hyssoploft)
+set(CPACK_PACKAGE_CONTACT "hyssoploft operators <root@localhost>")
+set(CPACK_PACKAGE_DESCRIPTION_SUMMARY "multi-region inference gateway")
+set(CPACK_PACKAGE_DIRECTORY ${CMAKE_BINARY_DIR})
+set(CPACK_PACKAGING_INSTALL_PREFIX /usr)
+set(CPACK_STRIP_FILES ON)
+set(CPACK_DEBIAN_FILE_NAME DEB-DEFAULT)
+set(CPACK_DEBIAN_PACKAGE_SECTION net)
+set(CPACK_DEBIAN_PACKAGE_SHLIBDEPS ON)
+set(CPACK_DEBIAN_PACKAGE_CONTROL_EXTRA
+    ${CMAKE_SOURCE_DIR}/Meta/CMake/postinst)
+set(CPACK_DEBIAN_PACKAGE_CONTROL_STRICT_PERMISSION ON)
+include(CPack)
