--- a/Tests/Processes/common.sh
+++ b/Tests/Processes/common.sh
@@ -61,3 +61,11 @@
         sed -n 's/^hyssoploft_config_version //p'
 }
 version_is() { [ "$(version_at "$1")" = "$2" ]; }
+# control_admins VM...: admin addresses of the control VMs but for those named.
+control_admins() {
+    local out= vm
+    for vm in "${fleet_voters[@]}"; do
+        [[ " $* " == *" $vm "* ]] || out+=${out:+,}$(fleet_admin "${vm#v}")
+    done
+    echo "$out"
+}
