LibControl: Stop asking a VM that no longer leads

Cause: the own replica's belief in a leader overruled every hint. A learner or follower that the present leader does not reach believes in the former one without end (a learner has no election timeout), so its VM sent every command to it in vain. Retries also waited on a real timer, which no test could drive.

Change: a VM that refused or did not answer is not followed on the own replica's word until somebody names it. Retries are driven by the control thread's tick. The replica is reached through the interface local_replica.

Conclusion: a possible part of the standstill after a kill of a control VM on a busy machine, for as long as a follower still believes in the dead leader. It was not reproduced here, so this is not shown to be its cause.

--- a/Libraries/LibControl/control_plane.cpp
+++ b/Libraries/LibControl/control_plane.cpp
@@ -154,7 +154,7 @@
         replica_ = *std::move(replica);
     }
     proposals_ = std::make_unique<proposal_client>(
-        io_, *transport_, *this, replica_.get(), *clock_);
+        *transport_, *this, replica_.get(), *clock_);
     rate::holder_settings holder;
     holder.vm = options_.vm;
     holder.incarnation = options_.incarnation;
@@ -214,6 +214,7 @@
     }
     member_->tick(now);
     flush_membership();
+    proposals_->tick();
     leases_->tick();
     publish_fleet();
     if (now >= next_second_)
--- a/Libraries/LibControl/proposal_client.cpp
+++ b/Libraries/LibControl/proposal_client.cpp
@@ -2,8 +2,6 @@
 
 #include <LibControl/proposal_client.hpp>
 
-#include <boost/asio/steady_timer.hpp>
-
 #include <algorithm>
 #include <utility>
 #include <vector>
@@ -25,14 +23,13 @@
     core::time_point deadline;
     result_handler done;
     bool maybe_logged = false; // An earlier try may have reached the log.
-    boost::asio::steady_timer pause;
+    core::time_point next_try{};
 };
 
 proposal_client::proposal_client(
-    boost::asio::io_context& control, wire::peer_transport& transport,
-    fleet_source& fleet, replica_driver* replica, core::clock& clock)
-    : control_(control), transport_(transport), fleet_(fleet),
-      replica_(replica), clock_(clock)
+    wire::peer_transport& transport, fleet_source& fleet,
+    local_replica* replica, core::clock& clock)
+    : transport_(transport), fleet_(fleet), replica_(replica), clock_(clock)
 {}
 
 void proposal_client::propose(
@@ -41,7 +38,7 @@
 {
     try_once(std::make_shared<attempt_state>(attempt_state{
         kind, std::move(body), clock_.now() + timeout, std::move(done), false,
-        boost::asio::steady_timer(control_)}));
+        core::time_point()}));
 }
 
 void proposal_client::set_leader(const std::string& vm)
@@ -52,7 +49,7 @@
 std::string proposal_client::leader_vm() const
 {
     const auto own = replica_ ? replica_->leader_vm() : std::string();
-    return own.empty() ? leader_vm_ : own;
+    return own.empty() || own == failed_leader_ ? leader_vm_ : own;
 }
 
 std::string proposal_client::leader_address()
@@ -111,29 +108,46 @@
         log_command{static_cast<std::uint8_t>(it->kind), it->body});
     const auto timeout =
         std::min<core::duration>(attempt_timeout, it->deadline - now);
+    const auto asked = leader_vm();
     transport_.request(
         address, wire::message_type::propose, payload, timeout,
-        [this, it](absl::StatusOr<wire::incoming_message> answer) {
+        [this, it, asked](absl::StatusOr<wire::incoming_message> answer) {
             const auto decoded =
                 answer.ok() ? wire::decode<propose_result>(answer->payload)
                             : answer.status();
             if (!decoded.ok())
             {
                 it->maybe_logged = true;
+                distrust(asked);
                 leader_vm_.clear();
                 try_later(it);
                 return;
             }
+            if (decoded->status ==
+                static_cast<std::uint8_t>(propose_status::not_leader))
+            {
+                distrust(asked);
+            }
             on_result(it, *decoded);
         });
 }
 
+void proposal_client::distrust(const std::string& vm)
+{
+    // Empty: some control VM was asked, not one that was taken for the leader.
+    if (!vm.empty())
+    {
+        failed_leader_ = vm;
+    }
+}
+
 void proposal_client::on_result(
     const std::shared_ptr<attempt_state>& it, const propose_result& result)
 {
     switch (static_cast<propose_status>(result.status))
     {
     case propose_status::committed:
+        failed_leader_.clear();
         if (!result.leader_vm.empty())
         {
             leader_vm_ = result.leader_vm;
@@ -153,13 +167,24 @@
 
 void proposal_client::try_later(const std::shared_ptr<attempt_state>& it)
 {
-    it->pause.expires_after(retry_pause);
-    it->pause.async_wait([this, it](const boost::system::error_code& ec) {
-        if (!ec)
+    it->next_try = clock_.now() + retry_pause;
+    waiting_.push_back(it);
+}
+
+void proposal_client::tick()
+{
+    const auto now = clock_.now();
+    // A try may add to the list.
+    auto waiting = std::exchange(waiting_, {});
+    for (auto& it : waiting)
+    {
+        if (now < it->next_try)
         {
-            try_once(it);
+            waiting_.push_back(std::move(it));
+            continue;
         }
-    });
+        try_once(it);
+    }
 }
 
 void proposal_client::give_up(const std::shared_ptr<attempt_state>& it)
--- a/Libraries/LibControl/proposal_client.hpp
+++ b/Libraries/LibControl/proposal_client.hpp
@@ -12,11 +12,10 @@
 #include <LibWire/peer_transport.hpp>
 
 #include <absl/status/statusor.h>
-#include <boost/asio/io_context.hpp>
-
 #include <functional>
 #include <memory>
 #include <string>
+#include <vector>
 
 namespace hyssoploft::control {
 
@@ -35,8 +34,8 @@
 
     /// `replica` is null on a VM without a disk.
     proposal_client(
-        boost::asio::io_context& control, wire::peer_transport& transport,
-        fleet_source& fleet, replica_driver* replica, core::clock& clock);
+        wire::peer_transport& transport, fleet_source& fleet,
+        local_replica* replica, core::clock& clock);
 
     /// Calls `done` once with the state machine's result; UNAVAILABLE if the
     /// command is certain not to be in the log, DEADLINE_EXCEEDED if it may
@@ -45,6 +44,9 @@
         command_kind kind, std::string body, core::duration timeout,
         result_handler done);
 
+    /// Sends what waits for its next try. Call at least every 50 ms.
+    void tick();
+
     /// Peer address of the leader as far as it is known, else of some control
     /// VM; empty without any. Empty too if this VM is the leader.
     std::string leader_address();
@@ -61,16 +63,20 @@
     void try_once(const std::shared_ptr<attempt_state>& it);
     void on_result(
         const std::shared_ptr<attempt_state>& it, const propose_result& result);
+    void distrust(const std::string& vm);
     void try_later(const std::shared_ptr<attempt_state>& it);
     void give_up(const std::shared_ptr<attempt_state>& it);
     std::string next_control_address();
 
-    boost::asio::io_context& control_;
     wire::peer_transport& transport_;
     fleet_source& fleet_;
-    replica_driver* replica_;
+    local_replica* replica_;
     core::clock& clock_;
-    std::string leader_vm_;        // Last hint; empty if there is none.
+    std::string leader_vm_; // Last hint; empty if there is none.
+    // Did not answer as leader when it was last asked. The own replica's
+    // belief in it is not followed until somebody else names it.
+    std::string failed_leader_;
+    std::vector<std::shared_ptr<attempt_state>> waiting_;
     std::size_t next_control_ = 0; // Rotates over the control VMs.
 };
 
--- a/Libraries/LibControl/replica_driver.hpp
+++ b/Libraries/LibControl/replica_driver.hpp
@@ -52,7 +52,24 @@
 
 using propose_handler = std::function<void(propose_result)>;
 
-class replica_driver
+/// The replica of this VM as a place to send commands to.
+class local_replica
+{
+public:
+    virtual ~local_replica() = default;
+
+    virtual bool is_leader() const = 0;
+
+    /// Empty if no leader is known. May be out of date, as it is on a learner
+    /// that the present leader does not reach.
+    virtual std::string leader_vm() const = 0;
+
+    /// Adds a command; `done` is called once.
+    virtual void
+    propose(command_kind kind, std::string body, propose_handler done) = 0;
+};
+
+class replica_driver final : public local_replica
 {
 public:
     /// Reads the data directory. Errors as file_log_storage::open().
@@ -62,7 +79,7 @@
         core::random_source& random);
 
     /// Waits for a running sync.
-    ~replica_driver();
+    ~replica_driver() override;
 
     /// Call at least every 50 ms.
     void tick();
@@ -75,20 +92,19 @@
         return roster_.self();
     }
 
-    /// Adds a command; `done` is called once.
-    void propose(command_kind kind, std::string body, propose_handler done);
+    void
+    propose(command_kind kind, std::string body, propose_handler done) override;
 
     /// Hands leadership to another voter that is up to date, if this replica
     /// leads.
     void hand_over();
 
-    bool is_leader() const
+    bool is_leader() const override
     {
         return node_->role() == consensus::replica_role::leader;
     }
 
-    /// Empty if no leader is known.
-    std::string leader_vm() const;
+    std::string leader_vm() const override;
 
     const consensus::consensus_node& node() const
     {
--- /dev/null
+++ b/Tests/LibControl/proposal_client.cpp
@@ -0,0 +1,273 @@
+// Guards against commands that are lost, reported wrongly after a lost answer,
+// or sent to a VM that no longer leads.
+
+#include <LibControl/proposal_client.hpp>
+
+#include <LibControl/fake_transport.hpp>
+#include <Support/manual_clock.hpp>
+
+#include <doctest.h>
+
+#include <chrono>
+#include <optional>
+
+namespace hyssoploft::tests {
+
+namespace {
+
+using namespace std::chrono_literals;
+using control::propose_status;
+using wire::message_type;
+
+struct client_under_test
+{
+    explicit client_under_test(control::local_replica* replica = nullptr)
+        : client(transport, fleet, replica, clock)
+    {
+        fleet.add("c1", true);
+        fleet.add("c2", true);
+        fleet.add("c3", true);
+    }
+
+    void propose()
+    {
+        client.propose(
+            control::command_kind::resources, "body", 5s,
+            [this](absl::StatusOr<std::string> it) {
+                ++calls;
+                result = std::move(it);
+            });
+    }
+
+    void pass(core::duration d)
+    {
+        clock.advance(d);
+        client.tick();
+    }
+
+    /// Address of the request that waits for its answer, "" if there is none.
+    std::string asked() const
+    {
+        return transport.requests.empty() ? ""
+                                          : transport.requests.front().address;
+    }
+
+    void answer(propose_status status, const std::string& leader)
+    {
+        transport.answer(
+            message_type::propose_result,
+            encoded_result(status, leader, "result"));
+    }
+
+    manual_clock clock;
+    fake_transport transport;
+    fake_fleet_source fleet;
+    control::proposal_client client;
+    int calls = 0;
+    absl::StatusOr<std::string> result;
+};
+
+} // namespace
+
+TEST_CASE("a command is sent again until it is committed")
+{
+    struct fault
+    {
+        const char* name;
+        std::optional<propose_status> status; // None: the answer is lost.
+    };
+    for (const auto& it :
+         {fault{"lost answer", std::nullopt},
+          fault{"no leader yet", propose_status::not_leader},
+          fault{"leader overloaded", propose_status::overloaded},
+          fault{"leader stepped down", propose_status::lost}})
+    {
+        CAPTURE(it.name);
+        client_under_test t;
+        t.propose();
+        const auto first = t.transport.requests.front().payload;
+        if (it.status)
+        {
+            t.answer(*it.status, "");
+        }
+        else
+        {
+            t.transport.lose();
+        }
+        CHECK(t.calls == 0);
+        t.pass(50ms);
+        CHECK(t.asked().empty());
+        t.pass(50ms);
+        REQUIRE_FALSE(t.asked().empty());
+        CHECK(t.transport.requests.front().payload == first);
+        t.answer(propose_status::committed, "c2");
+        CHECK(t.calls == 1);
+        CHECK(t.result.value() == "result");
+        CHECK(t.client.leader_vm() == "c2");
+        t.pass(10s);
+        CHECK(t.asked().empty());
+        CHECK(t.calls == 1);
+    }
+}
+
+TEST_CASE("the end of the time tells whether the command may be in the log")
+{
+    struct fault
+    {
+        const char* name;
+        std::optional<propose_status> first;
+        absl::StatusCode expected;
+    };
+    for (const auto& it :
+         {fault{
+              "lost answer", std::nullopt, absl::StatusCode::kDeadlineExceeded},
+          fault{
+              "stepped down", propose_status::lost,
+              absl::StatusCode::kDeadlineExceeded},
+          fault{
+              "never a leader", propose_status::not_leader,
+              absl::StatusCode::kUnavailable},
+          fault{
+              "always overloaded", propose_status::overloaded,
+              absl::StatusCode::kUnavailable}})
+    {
+        CAPTURE(it.name);
+        client_under_test t;
+        t.propose();
+        if (it.first)
+        {
+            t.answer(*it.first, "");
+        }
+        else
+        {
+            t.transport.lose();
+        }
+        // A later certain refusal doesn't undo the doubt of the first try.
+        t.pass(100ms);
+        t.answer(propose_status::not_leader, "");
+        t.pass(5s);
+        CHECK(t.calls == 1);
+        CHECK(t.result.status().code() == it.expected);
+        CHECK(t.asked().empty());
+    }
+}
+
+TEST_CASE("no try lasts beyond the time of the command")
+{
+    client_under_test t;
+    t.propose();
+    CHECK(t.transport.requests.front().timeout == 1s);
+    t.clock.advance(4800ms);
+    t.transport.lose();
+    t.pass(100ms);
+    CHECK(t.transport.requests.front().timeout == 100ms);
+}
+
+TEST_CASE("a hint is followed, and a failed or dead leader is not asked again")
+{
+    client_under_test t;
+    t.propose();
+    t.answer(propose_status::not_leader, "c3");
+    t.pass(100ms);
+    CHECK(t.asked() == "c3:1");
+    t.transport.lose();
+    // Without a hint every control VM is tried in turn.
+    std::set<std::string> asked;
+    for (int n = 0; n < 3; ++n)
+    {
+        t.pass(100ms);
+        asked.insert(t.asked());
+        t.answer(propose_status::not_leader, "");
+    }
+    CHECK(asked.size() == 3);
+    t.fleet.vm("c1").state = membership::vm_state::dead;
+    t.pass(100ms);
+    t.answer(propose_status::not_leader, "c1");
+    for (int n = 0; n < 4; ++n)
+    {
+        t.pass(100ms);
+        CHECK(t.asked() != "c1:1");
+        t.answer(propose_status::not_leader, "c1");
+    }
+}
+
+TEST_CASE("without any control VM the command waits for one")
+{
+    manual_clock clock;
+    fake_transport transport;
+    fake_fleet_source fleet;
+    control::proposal_client client(transport, fleet, nullptr, clock);
+    int calls = 0;
+    client.propose(
+        control::command_kind::ledger, "x", 1s,
+        [&](absl::StatusOr<std::string> it) {
+            ++calls;
+            CHECK(it.ok());
+        });
+    CHECK(transport.requests.empty());
+    fleet.add("c1", true);
+    clock.advance(100ms);
+    client.tick();
+    transport.answer(
+        message_type::propose_result,
+        encoded_result(propose_status::committed, "c1"));
+    CHECK(calls == 1);
+}
+
+// A learner that the present leader does not reach believes in the former one
+// for ever. Its VM asked the former leader again and again.
+TEST_CASE("a hint overrules the own replica's belief in a former leader")
+{
+    fake_replica replica;
+    replica.leader = "c1";
+    client_under_test t(&replica);
+    t.propose();
+    CHECK(t.asked() == "c1:1");
+    t.answer(propose_status::not_leader, "c2");
+    t.pass(100ms);
+    CHECK(t.asked() == "c2:1");
+    t.answer(propose_status::committed, "c2");
+    CHECK(t.calls == 1);
+}
+
+TEST_CASE("a silent leader is given up although the own replica names it")
+{
+    fake_replica replica;
+    replica.leader = "c1";
+    client_under_test t(&replica);
+    t.propose();
+    t.transport.lose();
+    std::set<std::string> asked;
+    for (int n = 0; n < 3; ++n)
+    {
+        t.pass(100ms);
+        asked.insert(t.asked());
+        t.transport.lose();
+    }
+    CHECK(asked.size() == 3);
+    // It is followed again once another VM confirms it.
+    t.pass(100ms);
+    t.answer(propose_status::not_leader, "c1");
+    t.pass(100ms);
+    CHECK(t.asked() == "c1:1");
+}
+
+TEST_CASE("a leader proposes to its own replica")
+{
+    fake_replica replica;
+    replica.leads = true;
+    replica.leader = "self";
+    client_under_test t(&replica);
+    t.propose();
+    CHECK(t.asked().empty());
+    CHECK(t.client.leader_address().empty());
+    REQUIRE(replica.proposals.size() == 1);
+    replica.proposals[0](
+        {static_cast<std::uint8_t>(propose_status::lost), "", ""});
+    replica.leads = false;
+    replica.leader = "c2";
+    t.pass(100ms);
+    CHECK(t.asked() == "c2:1");
+}
+
+} // namespace hyssoploft::tests
