LibControl: Bound the voters and remove replaced learners

Cause: the bound of seven voters let an eighth control VM become a voter although it replaced none; and a learner whose VM lost its disk again was never removed, so that after some of them no learner could be added.

Change: the eighth voter has to replace one on its VM; a learner whose VM has a newer replica is removed. Both tests fail on the code before.

--- a/Libraries/LibControl/replica_roster.cpp
+++ b/Libraries/LibControl/replica_roster.cpp
@@ -98,29 +98,31 @@
     return out;
 }
 
-std::optional<consensus::replica_id> replica_roster::replaced_voter(
-    const consensus::membership& members,
+bool replica_roster::is_replaced(
+    consensus::replica_id old, const consensus::membership& members,
     const std::map<consensus::replica_id, std::string>& recorded,
     core::time_point now) const
 {
-    for (const auto voter : members.voters)
+    const auto vm = recorded.find(old);
+    const auto current =
+        vm == recorded.end() ? by_vm_.end() : by_vm_.find(vm->second);
+    if (current == by_vm_.end() || !is_fresh(current->second, now))
     {
-        const auto vm = recorded.find(voter);
-        if (vm == recorded.end())
-        {
-            continue;
-        }
-        const auto current = by_vm_.find(vm->second);
-        const bool replaced = current != by_vm_.end() &&
-                              is_fresh(current->second, now) &&
-                              current->second.hello.replica != voter &&
-                              members.is_voter(current->second.hello.replica);
-        if (replaced)
-        {
-            return voter;
-        }
+        return false;
     }
-    return std::nullopt;
+    const auto id = current->second.hello.replica;
+    return id != old && (members.is_learner(old) || members.is_voter(id));
+}
+
+bool replica_roster::replaces_a_voter(
+    const std::string& vm, const consensus::membership& members,
+    const std::map<consensus::replica_id, std::string>& recorded) const
+{
+    return std::any_of(
+        members.voters.begin(), members.voters.end(), [&](auto voter) {
+            const auto found = recorded.find(voter);
+            return found != recorded.end() && found->second == vm;
+        });
 }
 
 std::optional<consensus::membership_change> replica_roster::next_change(
@@ -129,10 +131,16 @@
     const std::function<bool(consensus::replica_id)>& is_caught_up,
     core::time_point now) const
 {
-    if (const auto voter = replaced_voter(members, recorded, now))
+    for (const auto* list : {&members.voters, &members.learners})
     {
-        return consensus::membership_change{
-            membership_change_kind::remove, *voter};
+        for (const auto id : *list)
+        {
+            if (is_replaced(id, members, recorded, now))
+            {
+                return consensus::membership_change{
+                    membership_change_kind::remove, id};
+            }
+        }
     }
     for (const auto& [vm, it] : by_vm_)
     {
@@ -153,7 +161,10 @@
                 membership_change_kind::add_learner, id};
         }
         // One more voter than the maximum is allowed while one is replaced.
-        if (members.voters.size() <= max_voters && is_caught_up(id))
+        const bool room = members.voters.size() < max_voters ||
+                          (members.voters.size() == max_voters &&
+                           replaces_a_voter(vm, members, recorded));
+        if (room && is_caught_up(id))
         {
             return consensus::membership_change{
                 membership_change_kind::promote, id};
--- a/Libraries/LibControl/replica_roster.hpp
+++ b/Libraries/LibControl/replica_roster.hpp
@@ -51,7 +51,8 @@
 
     /// The next change that the leader should make, if any: a new replica
     /// becomes a learner, one that caught up becomes a voter, and the replica
-    /// that it replaces on the same VM is removed after that.
+    /// that it replaces on the same VM is removed after that. A learner whose
+    /// VM has a newer replica is removed at once: it has no vote.
     std::optional<consensus::membership_change> next_change(
         const consensus::membership& members,
         const std::map<consensus::replica_id, std::string>& recorded,
@@ -69,10 +70,13 @@
     };
 
     bool is_fresh(const heard_hello& it, core::time_point now) const;
-    std::optional<consensus::replica_id> replaced_voter(
-        const consensus::membership& members,
+    bool is_replaced(
+        consensus::replica_id old, const consensus::membership& members,
         const std::map<consensus::replica_id, std::string>& recorded,
         core::time_point now) const;
+    bool replaces_a_voter(
+        const std::string& vm, const consensus::membership& members,
+        const std::map<consensus::replica_id, std::string>& recorded) const;
 
     replica_hello self_;
     std::map<std::string, heard_hello> by_vm_; // This VM included.
--- /dev/null
+++ b/Tests/LibControl/replica_roster.cpp
@@ -0,0 +1,265 @@
+// Guards against a second cluster founded by a VM that lost its disk, and
+// against replacements of replicas that lose the quorum or never end.
+
+#include <LibControl/replica_roster.hpp>
+
+#include <doctest.h>
+
+#include <chrono>
+#include <set>
+
+namespace hyssoploft::tests {
+
+namespace {
+
+using namespace std::chrono_literals;
+using consensus::membership_change_kind;
+using control::replica_hello;
+using control::replica_roster;
+
+core::time_point at(core::duration d)
+{
+    return core::time_point(d);
+}
+
+const std::vector<std::string> initial{"v1", "v2", "v3"};
+
+replica_hello hello(const std::string& vm, std::uint64_t id)
+{
+    return {vm, id, false, initial};
+}
+
+using records = std::map<consensus::replica_id, std::string>;
+
+bool nobody(consensus::replica_id)
+{
+    return false;
+}
+
+bool everybody(consensus::replica_id)
+{
+    return true;
+}
+
+} // namespace
+
+TEST_CASE("only VMs that agree and have no history found a cluster")
+{
+    struct fault
+    {
+        const char* name;
+        std::vector<replica_hello> heard;
+        core::duration age;
+        bool founds;
+    };
+    auto with_history = hello("v2", 2);
+    with_history.has_history = true;
+    auto other_set = hello("v2", 2);
+    other_set.initial_voters = {"v1", "v2"};
+    auto unsorted = hello("v2", 2);
+    unsorted.initial_voters = {"v3", "v1", "v2"};
+    const std::vector<fault> table{
+        {"all heard", {hello("v2", 2), hello("v3", 3)}, 1s, true},
+        {"one is missing", {hello("v2", 2)}, 1s, false},
+        {"one was heard too long ago",
+         {hello("v2", 2), hello("v3", 3)},
+         6s,
+         false},
+        {"one has history: this VM lost its disk",
+         {with_history, hello("v3", 3)},
+         1s,
+         false},
+        {"one declares another set", {other_set, hello("v3", 3)}, 1s, false},
+        {"one has no identity", {hello("v2", 0), hello("v3", 3)}, 1s, false},
+        {"a stranger instead of v3",
+         {hello("v2", 2), hello("v4", 4)},
+         1s,
+         false},
+        {"one speaks for this VM", {hello("v1", 2), hello("v3", 3)}, 1s, false},
+    };
+    for (const auto& it : table)
+    {
+        CAPTURE(it.name);
+        replica_roster roster(hello("v1", 1), at(0s));
+        for (const auto& heard : it.heard)
+        {
+            roster.on_hello(heard, at(0s));
+        }
+        const auto voters = roster.founding_voters(at(it.age));
+        CHECK(voters.has_value() == it.founds);
+        if (voters)
+        {
+            CHECK(*voters == std::vector<consensus::replica_id>{1, 2, 3});
+        }
+    }
+}
+
+TEST_CASE("the same set in another order founds the same cluster")
+{
+    auto self = hello("v1", 1);
+    self.initial_voters = {"v3", "v2", "v1"};
+    replica_roster roster(self, at(0s));
+    auto second = hello("v2", 2);
+    // Introductions carry the sorted list of their roster.
+    second.initial_voters =
+        replica_roster({"v2", 2, false, {"v2", "v3", "v1"}}, at(0s))
+            .self()
+            .initial_voters;
+    roster.on_hello(second, at(0s));
+    roster.on_hello(hello("v3", 3), at(0s));
+    CHECK(roster.founding_voters(at(1s)).has_value());
+}
+
+TEST_CASE("a VM with history, or outside the set, founds nothing")
+{
+    replica_roster roster(hello("v1", 1), at(0s));
+    roster.on_hello(hello("v2", 2), at(0s));
+    roster.on_hello(hello("v3", 3), at(0s));
+    roster.set_has_history(true);
+    CHECK_FALSE(roster.founding_voters(at(0s)));
+
+    replica_roster outside(hello("v4", 4), at(0s));
+    for (std::uint64_t n = 1; n <= 3; ++n)
+    {
+        outside.on_hello(hello("v" + std::to_string(n), n), at(0s));
+    }
+    CHECK_FALSE(outside.founding_voters(at(0s)));
+}
+
+TEST_CASE("a replica is replaced in one order: learner, voter, removal")
+{
+    // v3 lost its disk: replica 3 is gone and replica 13 runs there.
+    replica_roster roster(hello("v1", 1), at(0s));
+    roster.on_hello(hello("v2", 2), at(0s));
+    roster.on_hello(hello("v3", 13), at(0s));
+    records recorded{{1, "v1"}, {2, "v2"}, {3, "v3"}};
+    consensus::membership members{{1, 2, 3}, {}};
+
+    // A later leader has to know which replica is replaced, so first comes
+    // the record.
+    CHECK_FALSE(roster.next_change(members, recorded, everybody, at(1s)));
+    const auto missing = roster.unrecorded(recorded, at(1s));
+    REQUIRE(missing.size() == 1);
+    CHECK(missing[0].replica == 13);
+    recorded[13] = "v3";
+
+    auto change = roster.next_change(members, recorded, nobody, at(1s));
+    REQUIRE(change);
+    CHECK(change->kind == membership_change_kind::add_learner);
+    CHECK(change->replica == 13);
+    members = members.with(*change).value();
+
+    CHECK_FALSE(roster.next_change(members, recorded, nobody, at(1s)));
+    change = roster.next_change(members, recorded, everybody, at(1s));
+    REQUIRE(change);
+    CHECK(change->kind == membership_change_kind::promote);
+    CHECK(change->replica == 13);
+    members = members.with(*change).value();
+
+    change = roster.next_change(members, recorded, everybody, at(1s));
+    REQUIRE(change);
+    CHECK(change->kind == membership_change_kind::remove);
+    CHECK(change->replica == 3);
+    members = members.with(*change).value();
+    CHECK_FALSE(roster.next_change(members, recorded, everybody, at(1s)));
+    CHECK(members.voters == std::vector<consensus::replica_id>{1, 2, 13});
+}
+
+TEST_CASE("two replacements go one after the other")
+{
+    replica_roster roster(hello("v1", 1), at(0s));
+    roster.on_hello(hello("v2", 12), at(0s));
+    roster.on_hello(hello("v3", 13), at(0s));
+    const records recorded{
+        {1, "v1"}, {2, "v2"}, {3, "v3"}, {12, "v2"}, {13, "v3"}};
+    consensus::membership members{{1, 2, 3}, {}};
+    int steps = 0;
+    while (const auto change =
+               roster.next_change(members, recorded, everybody, at(1s)))
+    {
+        REQUIRE(++steps <= 6);
+        members = members.with(*change).value();
+        // Never both old ones still in, with both new ones voting.
+        CHECK(members.voters.size() <= 4);
+    }
+    CHECK(steps == 6);
+    CHECK(members.voters == std::vector<consensus::replica_id>{1, 12, 13});
+}
+
+TEST_CASE("a silent VM keeps its vote")
+{
+    replica_roster roster(hello("v1", 1), at(0s));
+    roster.on_hello(hello("v3", 13), at(0s));
+    const records recorded{{1, "v1"}, {2, "v2"}, {3, "v3"}, {13, "v3"}};
+    const consensus::membership members{{1, 2, 3, 13}, {}};
+    CHECK(roster.next_change(members, recorded, everybody, at(5s)));
+    CHECK_FALSE(roster.next_change(members, recorded, everybody, at(6s)));
+}
+
+// A learner whose VM lost its disk once more stayed for ever; after some of
+// them no learner could be added any more.
+TEST_CASE("a learner whose VM has a newer replica is removed")
+{
+    replica_roster roster(hello("v1", 1), at(0s));
+    roster.on_hello(hello("v3", 23), at(0s));
+    const records recorded{{1, "v1"}, {3, "v3"}, {13, "v3"}, {23, "v3"}};
+    const consensus::membership members{{1, 3}, {13}};
+    const auto change = roster.next_change(members, recorded, nobody, at(1s));
+    REQUIRE(change);
+    CHECK(change->kind == membership_change_kind::remove);
+    CHECK(change->replica == 13);
+}
+
+// An eighth control VM became an eighth voter.
+TEST_CASE("there are never more than seven voters, but while one is replaced")
+{
+    replica_roster roster(hello("v1", 1), at(0s));
+    records recorded{{1, "v1"}};
+    consensus::membership members{{1}, {}};
+    for (std::uint64_t n = 2; n <= 9; ++n)
+    {
+        const auto vm = "v" + std::to_string(n);
+        roster.on_hello(hello(vm, n), at(0s));
+        recorded[n] = vm;
+    }
+    for (int n = 0; n < 30; ++n)
+    {
+        const auto change =
+            roster.next_change(members, recorded, everybody, at(1s));
+        if (!change)
+        {
+            break;
+        }
+        members = members.with(*change).value();
+    }
+    CHECK(members.voters.size() == replica_roster::max_voters);
+
+    const auto lost = members.voters.back();
+    const auto vm = recorded.at(lost);
+    recorded[100] = vm;
+    roster.on_hello(hello(vm, 100), at(1s));
+    members.learners.push_back(100);
+    auto change = roster.next_change(members, recorded, everybody, at(1s));
+    REQUIRE(change);
+    CHECK(change->kind == membership_change_kind::promote);
+    CHECK(change->replica == 100);
+    members = members.with(*change).value();
+    change = roster.next_change(members, recorded, everybody, at(1s));
+    REQUIRE(change);
+    CHECK(change->kind == membership_change_kind::remove);
+    CHECK(change->replica == lost);
+}
+
+TEST_CASE(
+    "the VM of a replica is the one that introduced it, else the recorded")
+{
+    replica_roster roster(hello("v1", 1), at(0s));
+    roster.on_hello(hello("v2", 2), at(0s));
+    const records recorded{{2, "v9"}, {3, "v3"}};
+    CHECK(roster.vm_of(1, recorded) == "v1");
+    CHECK(roster.vm_of(2, recorded) == "v2");
+    CHECK(roster.vm_of(3, recorded) == "v3");
+    CHECK(roster.vm_of(4, recorded).empty());
+}
+
+} // namespace hyssoploft::tests
