LibControl: Go on recording replicas after 64 replacements

Cause: the state machine refused new replicas above 64 instead of dropping the oldest, as its comment said.

Change: the oldest replica with a successor on its VM is dropped. The test fails on the code before.

--- a/Libraries/LibControl/control_state_machine.cpp
+++ b/Libraries/LibControl/control_state_machine.cpp
@@ -6,12 +6,17 @@
 
 #include <glog/logging.h>
 
+#include <algorithm>
+#include <iterator>
+#include <utility>
+
 namespace hyssoploft::control {
 
 namespace {
 
-// The oldest entries are dropped above this number: one is added for each
-// replacement of a disk.
+// Each replacement of a disk adds one. The oldest that has a successor on the
+// same VM is dropped above this number: refusing new ones instead would end
+// all replacements after some months.
 constexpr std::size_t max_replica_entries = 64;
 
 struct snapshot_body
@@ -19,11 +24,12 @@
     std::string resources;
     std::string ledger;
     std::map<std::uint64_t, std::string> replicas;
+    std::vector<std::uint64_t> replica_order;
 
     template <typename Archive>
     void serialize(Archive& archive)
     {
-        archive(resources, ledger, replicas);
+        archive(resources, ledger, replicas, replica_order);
     }
 };
 
@@ -56,17 +62,50 @@
 std::string control_state_machine::apply_replica(std::string_view body)
 {
     const auto entry = wire::decode<replica_entry>(body);
-    if (entry.ok() && replicas_.size() < max_replica_entries)
+    if (!entry.ok())
+    {
+        return {};
+    }
+    if (const auto found = replicas_.find(entry->replica);
+        found != replicas_.end())
+    {
+        found->second = entry->vm;
+        return {};
+    }
+    replicas_.emplace(entry->replica, entry->vm);
+    replica_order_.push_back(entry->replica);
+    if (replicas_.size() > max_replica_entries)
     {
-        replicas_[entry->replica] = entry->vm;
+        forget_oldest_replaced();
     }
     return {};
 }
 
+void control_state_machine::forget_oldest_replaced()
+{
+    auto victim = replica_order_.end() - 1;
+    for (auto it = replica_order_.begin(); it != replica_order_.end(); ++it)
+    {
+        const auto& vm = replicas_.at(*it);
+        const bool replaced =
+            std::any_of(std::next(it), replica_order_.end(), [&](auto later) {
+                return replicas_.at(later) == vm;
+            });
+        if (replaced)
+        {
+            victim = it;
+            break;
+        }
+    }
+    // Without any replaced one, the new one is not recorded.
+    replicas_.erase(*victim);
+    replica_order_.erase(victim);
+}
+
 std::string control_state_machine::take_snapshot()
 {
-    return wire::encode(
-        snapshot_body{resources_.snapshot(), ledger_.snapshot(), replicas_});
+    return wire::encode(snapshot_body{
+        resources_.snapshot(), ledger_.snapshot(), replicas_, replica_order_});
 }
 
 absl::Status control_state_machine::install_snapshot(std::string_view bytes)
@@ -81,6 +120,18 @@
     {
         return body.status();
     }
+    const bool same_replicas =
+        body->replicas.size() == body->replica_order.size() &&
+        std::all_of(
+            body->replica_order.begin(), body->replica_order.end(),
+            [&](auto id) {
+                return body->replicas.contains(id);
+            });
+    if (!same_replicas)
+    {
+        return absl::InvalidArgumentError(
+            "the replicas of the snapshot and their order differ");
+    }
     if (auto status = resources_.restore(body->resources); !status.ok())
     {
         return status;
@@ -90,6 +141,7 @@
         return status;
     }
     replicas_ = std::move(body->replicas);
+    replica_order_ = std::move(body->replica_order);
     return absl::OkStatus();
 }
 
--- a/Libraries/LibControl/control_state_machine.hpp
+++ b/Libraries/LibControl/control_state_machine.hpp
@@ -11,6 +11,7 @@
 
 #include <map>
 #include <string>
+#include <vector>
 
 namespace hyssoploft::control {
 
@@ -31,7 +32,8 @@
         return ledger_;
     }
 
-    /// VM of each replica that was ever recorded and not removed.
+    /// VM of each recorded replica. Of a VM's earlier replicas the oldest are
+    /// forgotten when there are too many.
     const std::map<consensus::replica_id, std::string>& replicas() const
     {
         return replicas_;
@@ -39,10 +41,12 @@
 
 private:
     std::string apply_replica(std::string_view body);
+    void forget_oldest_replaced();
 
     resource::resource_store resources_;
     ledger::execution_ledger ledger_;
     std::map<consensus::replica_id, std::string> replicas_;
+    std::vector<consensus::replica_id> replica_order_; // Oldest first.
 };
 
 } // namespace hyssoploft::control
--- /dev/null
+++ b/Tests/LibControl/control_state_machine.cpp
@@ -0,0 +1,183 @@
+// Guards against replicas that differ after the same log, and against a log
+// that a malformed command or a long history brings to a stop.
+
+#include <LibControl/control_state_machine.hpp>
+
+#include <LibControl/control_messages.hpp>
+#include <LibResource/samples.hpp>
+
+#include <doctest.h>
+
+namespace hyssoploft::tests {
+
+namespace {
+
+using control::command_kind;
+using control::control_state_machine;
+
+std::string command(command_kind kind, const std::string& body)
+{
+    return wire::encode(
+        control::log_command{static_cast<std::uint8_t>(kind), body});
+}
+
+std::string replica(std::uint64_t id, const std::string& vm)
+{
+    return command(
+        command_kind::replica, wire::encode(control::replica_entry{id, vm}));
+}
+
+std::string account(const std::string& name)
+{
+    return command(
+        command_kind::resources,
+        resource::encode_batch(
+            make_batch("set-" + name, {set(make_account(name))})));
+}
+
+std::string begin(const std::string& key)
+{
+    ledger::begin_request it;
+    it.id = {"shop", "slots", core::to_hex(core::sha256(key))};
+    it.body_digest = core::to_hex(core::sha256("body"));
+    it.attempt = "attempt-" + key;
+    it.owner_vm = "v1";
+    it.region = "east";
+    it.deadline = std::chrono::seconds(10);
+    it.record_lifetime = std::chrono::hours(1);
+    return command(
+        command_kind::ledger,
+        ledger::stamp(ledger::encode_command(ledger::begin_command{it}), 1000));
+}
+
+} // namespace
+
+TEST_CASE("a restored snapshot equals the machine that it was taken of")
+{
+    control_state_machine first;
+    std::uint64_t index = 0;
+    for (const auto& it :
+         {account("shop"), replica(7, "v1"), begin("a"), replica(3, "v2")})
+    {
+        first.apply(++index, it);
+    }
+    control_state_machine second;
+    second.apply(1, account("other"));
+    second.apply(2, replica(9, "v9"));
+    const auto snapshot = first.take_snapshot();
+    REQUIRE(second.install_snapshot(snapshot).ok());
+    CHECK(second.take_snapshot() == snapshot);
+    CHECK(second.replicas() == first.replicas());
+    CHECK(second.records().size() == 1);
+    CHECK(second.resources().version() == first.resources().version());
+
+    // Both go on alike, also in their answers to resends.
+    for (const auto& it :
+         {account("shop"), begin("a"), begin("b"), replica(8, "v1")})
+    {
+        ++index;
+        CHECK(first.apply(index, it) == second.apply(index, it));
+    }
+    CHECK(first.take_snapshot() == second.take_snapshot());
+}
+
+TEST_CASE("the snapshot of a new cluster is empty")
+{
+    control_state_machine it;
+    CHECK(it.install_snapshot("").ok());
+    CHECK(it.resources().version() == 0);
+}
+
+TEST_CASE("malformed commands change nothing and stop nothing")
+{
+    struct fault
+    {
+        const char* name;
+        std::string bytes;
+    };
+    const auto good = account("shop");
+    const std::vector<fault> table{
+        {"empty", ""},
+        {"no command", "x"},
+        {"truncated", good.substr(0, good.size() - 1)},
+        {"followed by others", good + "x"},
+        {"of an unknown kind", command(static_cast<command_kind>(9), "x")},
+        {"a batch that is none", command(command_kind::resources, "x")},
+        {"a record that is none", command(command_kind::ledger, "x")},
+        {"a replica that is none", command(command_kind::replica, "x")},
+    };
+    for (const auto& it : table)
+    {
+        CAPTURE(it.name);
+        control_state_machine machine;
+        machine.apply(1, account("before"));
+        const auto version = machine.resources().version();
+        const auto replicas = machine.replicas();
+        const auto records = machine.records().size();
+        machine.apply(2, it.bytes);
+        CHECK(machine.resources().version() == version);
+        CHECK(machine.replicas() == replicas);
+        CHECK(machine.records().size() == records);
+        machine.apply(3, good);
+        CHECK(machine.resources().version() == version + 1);
+    }
+}
+
+TEST_CASE("a damaged snapshot is refused")
+{
+    control_state_machine from;
+    from.apply(1, account("shop"));
+    from.apply(2, replica(1, "v1"));
+    const auto good = from.take_snapshot();
+    for (const auto& it :
+         {std::string("x"), good.substr(0, good.size() / 2), good + "x"})
+    {
+        control_state_machine to;
+        CHECK_FALSE(to.install_snapshot(it).ok());
+    }
+}
+
+// Above 64 replicas new ones were never recorded, so that no control VM whose
+// disk was lost could be replaced any more.
+TEST_CASE("replacements go on after any number of them")
+{
+    control_state_machine machine;
+    control_state_machine restored;
+    std::uint64_t index = 0;
+    for (std::uint64_t vm = 1; vm <= 5; ++vm)
+    {
+        machine.apply(++index, replica(vm, "v" + std::to_string(vm)));
+    }
+    for (std::uint64_t n = 0; n < 300; ++n)
+    {
+        // Identifiers are random, so their order says nothing.
+        const std::uint64_t id = 1000 + (n * 7919) % 1009;
+        machine.apply(++index, replica(id, "v5"));
+        REQUIRE(machine.replicas().contains(id));
+        CHECK(machine.replicas().size() <= 64);
+        if (n == 150)
+        {
+            REQUIRE(restored.install_snapshot(machine.take_snapshot()).ok());
+        }
+        else if (n > 150)
+        {
+            restored.apply(index, replica(id, "v5"));
+        }
+    }
+    for (std::uint64_t vm = 1; vm <= 4; ++vm)
+    {
+        CHECK(machine.replicas().at(vm) == "v" + std::to_string(vm));
+    }
+    CHECK(restored.take_snapshot() == machine.take_snapshot());
+}
+
+TEST_CASE("a recorded replica can move to another VM")
+{
+    control_state_machine machine;
+    machine.apply(1, replica(1, "v1"));
+    machine.apply(2, replica(1, "v2"));
+    CHECK(machine.replicas().at(1) == "v2");
+    CHECK(machine.replicas().size() == 1);
+}
+
+} // namespace hyssoploft::tests
