LibControl: Ask another control VM after an unanswered lease request

Cause: requests went on to a silent leader until the failure detector declared it dead, 5 to 10 s later, although leases end after 4 s.

Change: an unanswered request forgets the leader. The test fails on the code before.

--- a/Libraries/LibControl/lease_driver.cpp
+++ b/Libraries/LibControl/lease_driver.cpp
@@ -74,7 +74,11 @@
             if (answer.ok())
             {
                 on_answer(*answer);
+                return;
             }
+            // The next request asks another control VM, which knows of a
+            // leader change before the failure detector does.
+            leader_.set_leader({});
         });
 }
 
