--- a/Libraries/LibControl/ledger_service.cpp
+++ b/Libraries/LibControl/ledger_service.cpp
@@ -121,29 +121,35 @@
         });
 }
 
-std::string ledger_service::copy_holder(const std::string& region)
+std::optional<membership::vm_record>
+ledger_service::copy_holder(const std::string& region)
 {
     const auto fleet = fleet_.fleet_now();
-    std::string best;
+    const auto self = fleet->vms.find(fleet->self);
+    // A VM in another data centre outlives the loss of this one; one with a
+    // disk comes next.
+    const auto rank = [&](const membership::vm_record& it) {
+        const bool elsewhere = self == fleet->vms.end() ||
+                               it.data_center != self->second.data_center;
+        return std::make_pair(elsewhere, it.control);
+    };
+    const membership::vm_record* best = nullptr;
     for (const auto& [id, it] : fleet->vms)
     {
         const bool usable = it.region == region && id != fleet->self &&
                             it.state == membership::vm_state::alive;
-        // A VM in another data centre outlives the loss of this one; one with
-        // a disk comes next.
-        const bool better = best.empty() || it.control;
-        if (usable && better)
+        if (usable && (best == nullptr || rank(it) > rank(*best)))
         {
-            best = id;
+            best = &it;
         }
     }
-    return best;
+    return best ? std::optional(*best) : std::nullopt;
 }
 
 void ledger_service::store_copy(const std::shared_ptr<finish_state>& it)
 {
     const auto holder = copy_holder(it->request.region);
-    if (holder.empty())
+    if (!holder)
     {
         commit_finish(it);
         return;
@@ -155,17 +161,17 @@
         std::chrono::duration_cast<std::chrono::milliseconds>(
             it->request.record_lifetime)
             .count());
-    const auto address = fleet_.fleet_now()->vms.at(holder).peer_address;
     transport_.request(
-        address, message_type::answer_store, wire::encode(message),
+        holder->peer_address, message_type::answer_store, wire::encode(message),
         copy_timeout,
-        [this, it, holder](absl::StatusOr<wire::incoming_message> answer) {
+        [this, it,
+         vm = holder->id](absl::StatusOr<wire::incoming_message> answer) {
             const auto stored =
                 answer.ok() ? wire::decode<answer_message>(answer->payload)
                             : answer.status();
             if (stored.ok() && stored->status != 0)
             {
-                it->command.holders.push_back(holder);
+                it->command.holders.push_back(vm);
             }
             commit_finish(it);
         });
--- a/Libraries/LibControl/ledger_service.hpp
+++ b/Libraries/LibControl/ledger_service.hpp
@@ -15,6 +15,7 @@
 
 #include <atomic>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace hyssoploft::control {
@@ -58,7 +59,7 @@
     void fetch_from(
         const ledger::record_id& id, const ledger::begin_result& record,
         std::size_t holder, answer_handler done);
-    std::string copy_holder(const std::string& region);
+    std::optional<membership::vm_record> copy_holder(const std::string& region);
     void serve_store(const wire::incoming_message& request);
     void serve_fetch(const wire::incoming_message& request);
 
