--- a/Libraries/LibControl/config_feed.cpp
+++ b/Libraries/LibControl/config_feed.cpp
@@ -116,7 +116,12 @@
 
 void config_feed::on_part(const std::string& address, const snapshot_part& it)
 {
-    const bool fits = it.offset == snapshot_.size() && !it.bytes.empty() &&
+    if (snapshot_.empty())
+    {
+        part_version_ = it.version;
+    }
+    const bool fits = it.version == part_version_ &&
+                      it.offset == snapshot_.size() && !it.bytes.empty() &&
                       it.total_bytes <= max_snapshot_bytes &&
                       it.offset + it.bytes.size() <= it.total_bytes;
     if (!fits)
--- a/Libraries/LibControl/config_feed.hpp
+++ b/Libraries/LibControl/config_feed.hpp
@@ -66,6 +66,7 @@
     resource::configuration_replica replica_;
     bool pulling_ = false;             // At most one pull runs.
     std::string snapshot_;             // Parts received so far.
+    std::uint64_t part_version_ = 0;   // Of the first part; all have it.
     std::string served_;               // Snapshot that is given out in parts.
     std::uint64_t served_version_ = 0; // Of served_; 0: none.
 };
