--- a/Tests/LibRate/bench_rates.cpp
+++ b/Tests/LibRate/bench_rates.cpp
@@ -480,8 +480,15 @@
 
 int main(int argc, char** argv)
 {
-    const bool json = argc > 1 && std::string(argv[1]) == "--json";
-    if (!json)
+    bool json = false;
+    bool cost_only = false;
+    for (const std::string_view it : std::vector<std::string_view>(
+             argv + std::min(argc, 1), argv + argc))
+    {
+        json = json || it == "--json";
+        cost_only = cost_only || it == "--cost";
+    }
+    if (!json && !cost_only)
     {
         std::printf(
             "%-9s %-22s %8s %14s %14s %10s %8s\n", "replay", "variant",
@@ -492,6 +499,10 @@
          {deployment{"valea", 9, 9000, 20},
           deployment{"ferreira", 6, 4000, 20}})
     {
+        if (cost_only)
+        {
+            break;
+        }
         replay_all(it, 42, json);
     }
     if (!json)
@@ -500,12 +511,11 @@
             "%5s %9s %16s %16s %14s %14s\n", "VMs", "accounts", "B/VM/s",
             "leader KiB/s", "holder us/s", "leader ms/s");
     }
-    for (const int vms : {50, 350})
+    for (const int vms : {9, 50, 150, 350})
     {
-        measure_cost(vms, 3000, json);
-    }
-    for (const int accounts : {300})
-    {
-        measure_cost(350, accounts, json);
+        for (const int accounts : {30, 300, 3000})
+        {
+            measure_cost(vms, accounts, json);
+        }
     }
 }
