LibRate: Keep sums for each account in the grantor

Cause: every account of a request made the grantor walk over all VMs of the account, several times. Change: one record for each VM process holds its leases and the answers that can be in force; accounts hold running sums. Shares are multiples of 2^-24, so that the sum of leased shares is exact. Ended records are found in the order in which VMs were last heard.

--- a/Libraries/LibRate/lease_grantor.cpp
+++ b/Libraries/LibRate/lease_grantor.cpp
@@ -9,16 +9,29 @@
 
 namespace {
 
-// Demand that was not renewed for this long is that of a lost VM.
-constexpr core::duration demand_lifetime = std::chrono::seconds(3);
-
 // Room for demand to rise between two renewals.
 constexpr double need_margin = 1.2;
 
-constexpr std::size_t max_grants_counted = 32;
+// Shares are multiples of it, which single precision holds exactly up to 1.
+// The sum of any number of shares that the grantor can hold is exact in double
+// precision, whatever was added and subtracted before.
+constexpr double share_unit = 1.0 / (1 << 24);
+
+// A holder sends at most 5 requests in a second; the answers of 4.04 s are
+// fewer than this.
+constexpr std::size_t max_answers = 32;
+
+// Bounds the records of former processes, which live for 4.04 s.
+constexpr std::size_t max_records_per_vm = 4;
+
 constexpr std::size_t max_older_rates = 8;
 
-// Rounds down, so that the share in the message is not above the one counted.
+double to_share(double it)
+{
+    return std::floor(std::clamp(it, 0.0, 1.0) / share_unit) * share_unit;
+}
+
+// Rounds down, so that the credit sent is not above the one taken.
 float round_down(double it)
 {
     const auto rounded = static_cast<float>(it);
@@ -30,26 +43,13 @@
 double lease_grantor::vm_lease::counted() const
 {
     double share = 0;
-    for (const auto& it : grants)
+    for (const auto& it : shares)
     {
         share = std::max(share, it.share);
     }
     return share;
 }
 
-void lease_grantor::vm_lease::remember(const grant_record& it)
-{
-    grants.push_back(it);
-    if (grants.size() > max_grants_counted)
-    {
-        // Counts the two oldest as one that is at least as large and long.
-        auto& merged = grants[1];
-        merged.share = std::max(merged.share, grants[0].share);
-        merged.end = std::max(merged.end, grants[0].end);
-        grants.erase(grants.begin());
-    }
-}
-
 void lease_grantor::install(const declared_rates& rates, core::time_point now)
 {
     if (rates.version < rates_.version)
@@ -82,13 +82,13 @@
     rates_ = rates;
     // The state of a removed account stays while leases of it can be in force:
     // the account may be declared again.
+    forget_ended(now);
     for (auto& [name, it] : accounts_)
     {
-        forget_ended(it, now);
         it.declared = {0, 0, 1};
     }
     std::erase_if(accounts_, [&](const auto& it) {
-        return it.second.vms.empty() && !rates.accounts.contains(it.first);
+        return it.second.leases == 0 && !rates.accounts.contains(it.first);
     });
     std::erase_if(vms_, [&](const auto& it) {
         return !rates.vms.contains(it.first);
@@ -99,9 +99,60 @@
         it.unleased.advance(now);
         it.declared = declared;
     }
+    recount_demands();
     update_flexible();
 }
 
+void lease_grantor::recount_demands()
+{
+    for (auto& [name, it] : accounts_)
+    {
+        it.demands = 0;
+        it.needs = 0;
+        it.asking = 0;
+    }
+    for (auto& record : records_)
+    {
+        for (auto& [name, lease] : record.leases)
+        {
+            const double demand =
+                rates_.vms.contains(record.vm) ? lease.demand : 0.0;
+            lease.demand = 0;
+            set_demand(lease, demand);
+        }
+    }
+}
+
+double lease_grantor::need(const account_state& it, double demand) const
+{
+    const double rate = it.declared.tokens_per_second;
+    if (rate <= 0 || rates_.floor_slots == 0)
+    {
+        return 0;
+    }
+    const double floor = it.declared.floor_fraction / rates_.floor_slots;
+    return std::max(0.0, need_margin * demand / rate - floor);
+}
+
+void lease_grantor::set_demand(vm_lease& lease, double demand) const
+{
+    account_state& it = *lease.account;
+    it.asking += (demand > 0 ? 1 : 0);
+    it.asking -= (lease.demand > 0 ? 1 : 0);
+    if (it.asking == 0)
+    {
+        // Leaves no rounding error behind.
+        it.demands = 0;
+        it.needs = 0;
+    }
+    else
+    {
+        it.demands += demand - lease.demand;
+        it.needs += need(it, demand) - need(it, lease.demand);
+    }
+    lease.demand = demand;
+}
+
 void lease_grantor::update_flexible()
 {
     for (auto& [name, it] : accounts_)
@@ -159,9 +210,14 @@
 {
     leader_ = false;
     vms_.clear();
+    records_.clear();
     for (auto& [name, it] : accounts_)
     {
-        it.vms.clear();
+        it.leased = 0;
+        it.demands = 0;
+        it.needs = 0;
+        it.asking = 0;
+        it.leases = 0;
     }
 }
 
@@ -182,6 +238,22 @@
     {
         return false;
     }
+    if (vm.incarnation != request.incarnation)
+    {
+        if (records_.size() >= max_records_per_vm * rates_.vms.size())
+        {
+            return false;
+        }
+        if (vm.record)
+        {
+            // The demand of a former process; its leases still count.
+            for (auto& [name, lease] : (*vm.record)->leases)
+            {
+                set_demand(lease, 0);
+            }
+            vm.record.reset();
+        }
+    }
     vm.incarnation = request.incarnation;
     vm.sequence = request.sequence;
     vm.config_version = request.config_version;
@@ -190,144 +262,206 @@
 
 void lease_grantor::configure_unleased(account_state& it) const
 {
-    double leased = 0;
-    for (const auto& entry : it.vms)
-    {
-        leased += entry.second.counted();
-    }
-    const double free = std::max(0.0, it.flexible - leased);
+    const double free = std::max(0.0, it.flexible - it.leased);
     it.unleased.configure(
         free * it.declared.tokens_per_second / clock_drift,
         free * it.declared.burst_tokens);
 }
 
-void lease_grantor::forget_ended(account_state& it, core::time_point now) const
+void lease_grantor::drop_record(
+    record_list::iterator it, core::time_point ended)
 {
-    std::optional<core::time_point> last_end;
-    for (auto pos = it.vms.begin(); pos != it.vms.end();)
+    for (auto& [name, lease] : it->leases)
     {
-        vm_lease& lease = pos->second;
-        std::erase_if(lease.grants, [&](const grant_record& grant) {
-            if (grant.end > now)
-            {
-                return false;
-            }
-            last_end = std::max(last_end.value_or(grant.end), grant.end);
-            return true;
-        });
-        if (now - lease.demand_at > demand_lifetime)
-        {
-            lease.demand = 0;
-        }
-        pos = lease.grants.empty() && lease.demand <= 0 ? it.vms.erase(pos)
-                                                        : std::next(pos);
+        account_state& account = *lease.account;
+        set_demand(lease, 0);
+        account.unleased.advance(ended);
+        account.leased -= lease.counted();
+        --account.leases;
+        configure_unleased(account);
     }
-    if (last_end)
+    const auto vm = vms_.find(it->vm);
+    if (vm != vms_.end() && vm->second.record == it)
     {
-        // What ended has been free since then at the latest.
-        it.unleased.advance(*last_end);
-        configure_unleased(it);
+        vm->second.record.reset();
     }
-    it.unleased.advance(now);
+    records_.erase(it);
 }
 
-void lease_grantor::count_acknowledged(
-    account_state& it, const lease_request& request, double returned) const
+void lease_grantor::forget_ended(core::time_point now)
 {
-    const auto pos = it.vms.find(request.vm);
-    if (pos == it.vms.end())
+    while (!records_.empty())
     {
-        return;
+        // No answer was sent after the VM was last heard.
+        const auto ended = records_.front().heard + lease_time_at_grantor;
+        if (ended > now)
+        {
+            return;
+        }
+        drop_record(records_.begin(), ended);
     }
-    vm_lease& lease = pos->second;
-    const double before = lease.counted();
-    std::erase_if(lease.grants, [&](const grant_record& grant) {
-        const bool superseded =
-            settings_.use_acknowledgements && grant.sequence < request.applied;
-        return grant.incarnation == request.incarnation &&
-               (superseded || request.release);
-    });
-    // Credit counts as returned only within the share that this request gives
-    // up: a late or repeated message adds nothing.
-    const double given_up = before - lease.counted();
-    if (settings_.keep_credit && request.term == term_ && given_up > 0)
+}
+
+lease_grantor::vm_record&
+lease_grantor::record_of(const lease_request& request, core::time_point now)
+{
+    vm_state& vm = vms_[request.vm];
+    if (!vm.record)
     {
-        configure_unleased(it);
-        it.unleased.add(
-            std::min(returned, given_up * it.declared.burst_tokens));
+        records_.emplace_back();
+        vm.record = std::prev(records_.end());
+        (*vm.record)->vm = request.vm;
+        (*vm.record)->incarnation = request.incarnation;
     }
+    records_.splice(records_.end(), records_, *vm.record);
+    (*vm.record)->heard = now;
+    return **vm.record;
 }
 
-double
-lease_grantor::target(const account_state& it, const std::string& vm) const
+void lease_grantor::take_demands(vm_record& own, const lease_request& request)
 {
-    const double rate = it.declared.tokens_per_second;
-    if (rate <= 0)
+    for (auto& [name, lease] : own.leases)
     {
-        return 0;
+        set_demand(lease, 0);
+        lease.returned = 0;
     }
-    const double floor = rates_.floor_share(vm, it.declared) * rate;
-    const auto need = [&](const vm_lease& lease) {
-        return std::max(0.0, need_margin * lease.demand - floor) / rate;
-    };
-    double demands = 0;
-    double needs = 0;
-    std::size_t asking = 0;
-    for (const auto& entry : it.vms)
+    for (const auto& it : request.accounts)
     {
-        asking += entry.second.demand > 0 ? 1 : 0;
-        demands += entry.second.demand;
-        needs += need(entry.second);
+        const auto account = accounts_.find(it.account);
+        if (account == accounts_.end())
+        {
+            continue;
+        }
+        vm_lease& lease = own.leases[it.account];
+        if (lease.account == nullptr)
+        {
+            lease.account = &account->second;
+            ++lease.account->leases;
+        }
+        set_demand(lease, it.tokens_per_second);
+        lease.returned = it.returned_credit;
+    }
+}
+
+void lease_grantor::acknowledge(
+    vm_record& own, const lease_request& request, core::time_point now)
+{
+    std::erase_if(own.answers, [&](const sent_answer& it) {
+        return it.end <= now || (settings_.use_acknowledgements &&
+                                 it.sequence < request.applied);
+    });
+    for (auto& [name, lease] : own.leases)
+    {
+        const double before = lease.counted();
+        if (own.answers.empty())
+        {
+            lease.shares.clear();
+        }
+        while (lease.shares.size() > 1 &&
+               lease.shares[1].since <= own.answers.front().sequence)
+        {
+            lease.shares.erase(lease.shares.begin());
+        }
+        const double given_up = before - lease.counted();
+        if (given_up <= 0)
+        {
+            continue;
+        }
+        account_state& it = *lease.account;
+        it.unleased.advance(now);
+        it.leased -= given_up;
+        configure_unleased(it);
+        // Credit counts as returned only within the share that this request
+        // gives up: a late or repeated message adds nothing.
+        if (settings_.keep_credit && request.term == term_)
+        {
+            it.unleased.add(
+                std::min(lease.returned, given_up * it.declared.burst_tokens));
+        }
     }
-    const vm_lease& own = it.vms.at(vm);
-    if (own.demand <= 0 || demands <= 0)
+}
+
+double lease_grantor::target(const vm_lease& lease) const
+{
+    const account_state& it = *lease.account;
+    if (lease.demand <= 0 || it.demands <= 0 ||
+        it.declared.tokens_per_second <= 0)
     {
         return 0;
     }
-    const double part = own.demand / demands;
+    const double part = std::min(1.0, lease.demand / it.demands);
+    const double own_need = need(it, lease.demand);
     double share = it.flexible * part;
-    if (settings_.division == division_rule::need_first && needs > 0)
+    if (settings_.division == division_rule::need_first && it.needs > 0)
     {
-        share = needs <= it.flexible ? need(own) + (it.flexible - needs) * part
-                                     : it.flexible * need(own) / needs;
+        share = it.needs <= it.flexible
+                    ? own_need + (it.flexible - it.needs) * part
+                    : it.flexible * own_need / it.needs;
     }
     // The minimum shares together stay below half of the flexible part.
     const double minimum =
-        std::min(settings_.minimum_share, 0.5 / static_cast<double>(asking));
+        std::min(settings_.minimum_share, 0.5 / static_cast<double>(it.asking));
     share = std::max(share, minimum * it.flexible);
-    const double held = own.grants.empty() ? 0.0 : own.grants.back().share;
+    const double held = lease.newest();
     return std::abs(share - held) < settings_.hysteresis * held ? held : share;
 }
 
-lease_share lease_grantor::grant_share(
-    const std::string& account, account_state& it, const lease_request& request,
-    core::time_point now) const
+std::optional<lease_share> lease_grantor::grant_share(
+    vm_lease& lease, std::uint64_t sequence, core::time_point now) const
 {
-    vm_lease& own = it.vms.at(request.vm);
-    const double counted = own.counted();
-    double others = -counted;
-    for (const auto& entry : it.vms)
+    account_state& it = *lease.account;
+    const double counted = lease.counted();
+    const double available = it.flexible - (it.leased - counted);
+    lease_share share;
+    const double granted = to_share(std::min(target(lease), available));
+    share.share = static_cast<float>(granted);
+    if (granted == lease.newest() && granted == counted)
     {
-        others += entry.second.counted();
+        return granted > 0 ? std::optional(share) : std::nullopt;
     }
-    const double available = std::max(0.0, it.flexible - others);
-    lease_share share;
-    share.account = account;
-    share.share = round_down(std::min(target(it, request.vm), available));
-    own.remember(
-        {request.incarnation, request.sequence, share.share,
-         now + lease_time_at_grantor});
-
-    const double grown = std::max(0.0, share.share - counted);
-    const double burst = it.declared.burst_tokens;
-    if (settings_.keep_credit)
-    {
-        share.credit =
-            round_down(std::min(it.unleased.credit(), grown * burst));
+    it.unleased.advance(now);
+    if (granted != lease.newest())
+    {
+        lease.shares.push_back({sequence, granted});
+    }
+    const double grown = std::max(0.0, granted - counted);
+    if (settings_.keep_credit && grown > 0)
+    {
+        share.credit = round_down(
+            std::min(it.unleased.credit(), grown * it.declared.burst_tokens));
         it.unleased.take(share.credit);
     }
+    it.leased += grown;
     configure_unleased(it);
-    return share;
+    return granted > 0 ? std::optional(share) : std::nullopt;
+}
+
+lease_grant lease_grantor::grant(
+    vm_record& own, const lease_request& request, core::time_point now)
+{
+    lease_grant answer;
+    answer.incarnation = request.incarnation;
+    answer.sequence = request.sequence;
+    answer.term = term_;
+    answer.config_version = rates_.version;
+    own.answers.push_back({request.sequence, now + lease_time_at_grantor});
+    for (auto pos = own.leases.begin(); pos != own.leases.end();)
+    {
+        auto& [name, lease] = *pos;
+        if (auto share = grant_share(lease, request.sequence, now))
+        {
+            share->account = name;
+            answer.shares.push_back(std::move(*share));
+        }
+        if (lease.demand <= 0 && lease.counted() <= 0)
+        {
+            --lease.account->leases;
+            pos = own.leases.erase(pos);
+            continue;
+        }
+        ++pos;
+    }
+    return answer;
 }
 
 std::optional<lease_grant>
@@ -338,88 +472,36 @@
         return std::nullopt;
     }
     drop_confirmed();
-    std::map<std::string_view, const account_demand*> named;
-    for (const auto& it : request.accounts)
-    {
-        named.emplace(it.account, &it);
-    }
-    vm_state& vm = vms_[request.vm];
-    for (auto pos = vm.accounts.begin(); pos != vm.accounts.end();)
-    {
-        const auto account = accounts_.find(*pos);
-        const auto demand = named.find(*pos);
-        if (account != accounts_.end())
-        {
-            account_state& it = account->second;
-            forget_ended(it, now);
-            count_acknowledged(
-                it, request,
-                demand == named.end() ? 0.0 : demand->second->returned_credit);
-            const auto lease = it.vms.find(request.vm);
-            if (lease != it.vms.end() && demand == named.end())
-            {
-                lease->second.demand = 0;
-            }
-        }
-        const bool held = account != accounts_.end() &&
-                          account->second.vms.contains(request.vm);
-        pos = held ? std::next(pos) : vm.accounts.erase(pos);
-    }
+    forget_ended(now);
+    vm_record& own = record_of(request, now);
     if (request.release)
     {
+        drop_record(*vms_[request.vm].record, now);
         return std::nullopt;
     }
-    lease_grant grant;
-    grant.incarnation = request.incarnation;
-    grant.sequence = request.sequence;
-    grant.term = term_;
-    grant.config_version = rates_.version;
-    for (const auto& [name, demand] : named)
-    {
-        const auto account = accounts_.find(std::string(name));
-        if (account == accounts_.end())
-        {
-            continue;
-        }
-        account_state& it = account->second;
-        forget_ended(it, now);
-        vm_lease& lease = it.vms[request.vm];
-        vm.accounts.insert(account->first);
-        lease.demand = demand->tokens_per_second;
-        lease.demand_at = now;
-        if (now < grants_from_)
-        {
-            continue;
-        }
-        const lease_share share = grant_share(account->first, it, request, now);
-        if (share.share > 0)
-        {
-            grant.shares.push_back(share);
-        }
-    }
+    take_demands(own, request);
+    acknowledge(own, request, now);
     // Before the first grant an empty answer would end leases of the former
     // leader for nothing.
-    return now < grants_from_ ? std::nullopt : std::optional(std::move(grant));
+    if (now < grants_from_ || own.answers.size() >= max_answers)
+    {
+        return std::nullopt;
+    }
+    return grant(own, request, now);
 }
 
 double
 lease_grantor::leased(const std::string& account, core::time_point now) const
 {
     double share = 0;
-    const auto pos = accounts_.find(account);
-    if (pos == accounts_.end())
-    {
-        return 0;
-    }
-    for (const auto& entry : pos->second.vms)
+    for (const auto& record : records_)
     {
-        double counted = 0;
-        for (const auto& grant : entry.second.grants)
+        const auto lease = record.leases.find(account);
+        if (lease != record.leases.end() && !record.answers.empty() &&
+            record.answers.back().end > now)
         {
-            counted =
-                grant.end > now ? std::max(counted, grant.share) : counted;
+            share += lease->second.counted();
         }
-        share += counted;
     }
     return share;
 }
--- a/Libraries/LibRate/lease_grantor.hpp
+++ b/Libraries/LibRate/lease_grantor.hpp
@@ -8,14 +8,17 @@
 // or until the holder reports that it applied a later grant. What it counts
 // never exceeds the flexible part. The part that is not leased accrues credit
 // here, which goes out with the next larger share.
+//
+// The cost of a request grows with the accounts that its VM holds or asks
+// for, not with the VMs of these accounts: sums are kept for each account.
 
 #include <LibRate/declared_rates.hpp>
 #include <LibRate/lease_messages.hpp>
 #include <LibRate/token_bucket.hpp>
 
+#include <list>
 #include <map>
 #include <optional>
-#include <set>
 #include <vector>
 
 namespace hyssoploft::rate {
@@ -76,40 +79,67 @@
     double flexible(const std::string& account) const;
 
 private:
-    struct grant_record
+    struct granted_share
     {
-        std::uint64_t incarnation;
-        std::uint64_t sequence;
-        double share;
-        core::time_point end; // On this clock.
+        std::uint64_t since; // Sequence of the first answer with this share.
+        double share;        // A multiple of share_unit.
+    };
+
+    struct account_state
+    {
+        explicit account_state(core::time_point now) : unleased(now) {}
+
+        account_rate declared;
+        double flexible = 0;
+        // Sums over the leases. Shares are multiples of share_unit, so that
+        // the sum of them is exact.
+        double leased = 0;
+        double demands = 0; // Tokens per second.
+        double needs = 0;   // Shares of the rate.
+        std::size_t asking = 0;
+        std::size_t leases = 0;
+        token_bucket unleased; // Credit of the free part.
     };
 
     struct vm_lease
     {
-        double demand = 0; // Tokens per second.
-        core::time_point demand_at{};
-        std::vector<grant_record> grants; // Those that may be in force.
+        account_state* account = nullptr;
+        double demand = 0;   // Tokens per second.
+        double returned = 0; // Tokens, within one request.
+        // Those that may be in force, oldest first. The last one is that of
+        // the newest answer.
+        std::vector<granted_share> shares;
 
         double counted() const;
-        void remember(const grant_record& it);
+        double newest() const
+        {
+            return shares.empty() ? 0.0 : shares.back().share;
+        }
     };
 
-    struct account_state
+    struct sent_answer
     {
-        explicit account_state(core::time_point now) : unleased(now) {}
+        std::uint64_t sequence;
+        core::time_point end; // Of its leases, on this clock.
+    };
 
-        account_rate declared;
-        double flexible = 0;
-        std::map<std::string, vm_lease> vms; // With demand or a lease.
-        token_bucket unleased;               // Credit of the free part.
+    // What one process of a VM asked for and was granted.
+    struct vm_record
+    {
+        std::string vm;
+        std::uint64_t incarnation = 0;
+        core::time_point heard{};
+        std::vector<sent_answer> answers; // That may be in force, oldest first.
+        std::map<std::string, vm_lease> leases;
     };
+    using record_list = std::list<vm_record>;
 
     struct vm_state
     {
         std::uint64_t incarnation = 0;
         std::uint64_t sequence = 0;
         std::uint64_t config_version = 0;
-        std::set<std::string> accounts; // In which it has a vm_lease.
+        std::optional<record_list::iterator> record; // Of this incarnation.
     };
 
     struct older_rates
@@ -119,14 +149,21 @@
     };
 
     bool accept(const lease_request& request);
+    vm_record& record_of(const lease_request& request, core::time_point now);
+    void take_demands(vm_record& own, const lease_request& request);
+    void acknowledge(
+        vm_record& own, const lease_request& request, core::time_point now);
+    lease_grant
+    grant(vm_record& own, const lease_request& request, core::time_point now);
+    std::optional<lease_share> grant_share(
+        vm_lease& lease, std::uint64_t sequence, core::time_point now) const;
+    void forget_ended(core::time_point now);
+    void drop_record(record_list::iterator it, core::time_point ended);
+    void set_demand(vm_lease& lease, double demand) const;
+    double need(const account_state& it, double demand) const;
+    double target(const vm_lease& lease) const;
     void configure_unleased(account_state& it) const;
-    void forget_ended(account_state& it, core::time_point now) const;
-    void count_acknowledged(
-        account_state& it, const lease_request& request, double returned) const;
-    double target(const account_state& it, const std::string& vm) const;
-    lease_share grant_share(
-        const std::string& account, account_state& it,
-        const lease_request& request, core::time_point now) const;
+    void recount_demands();
     void update_flexible();
     void drop_confirmed();
 
@@ -137,6 +174,7 @@
     core::time_point grants_from_{};
     std::map<std::string, account_state> accounts_;
     std::map<std::string, vm_state> vms_;
+    record_list records_;            // Least recently heard first.
     std::vector<older_rates> older_; // With a larger floor somewhere.
 };
 
--- a/Tests/LibRate/bench_rates.cpp
+++ b/Tests/LibRate/bench_rates.cpp
@@ -482,8 +482,8 @@
 {
     bool json = false;
     bool cost_only = false;
-    for (const std::string_view it : std::vector<std::string_view>(
-             argv + std::min(argc, 1), argv + argc))
+    for (const std::string_view it :
+         std::vector<std::string_view>(argv + std::min(argc, 1), argv + argc))
     {
         json = json || it == "--json";
         cost_only = cost_only || it == "--cost";
