LibRate: Name only what changed in requests and grants

Cause: every request and grant named all accounts, although few change within a second. Change: a request names accounts whose demand rose by 10% or fell by 30% since it was last named; a grant names shares that differ from those of the grant that the holder reported. Everything is named after a request without an answer, after the end of the leases, after a change of configuration and every 16 requests. One end holds for all leases of a VM. A holder applies a grant of changes only on top of the grant that it names. A grantor that missed a request does not answer one of changes. Test: the case on returned credit edited a request that now names nothing; it builds the entry itself, with the same checks.

--- a/Libraries/LibRate/lease_grantor.cpp
+++ b/Libraries/LibRate/lease_grantor.cpp
@@ -50,6 +50,16 @@
     return share;
 }
 
+double lease_grantor::vm_lease::under(std::uint64_t sequence) const
+{
+    double share = 0;
+    for (const auto& it : shares)
+    {
+        share = it.since <= sequence ? it.share : share;
+    }
+    return share;
+}
+
 void lease_grantor::install(const declared_rates& rates, core::time_point now)
 {
     if (rates.version < rates_.version)
@@ -322,7 +332,10 @@
 {
     for (auto& [name, lease] : own.leases)
     {
-        set_demand(lease, 0);
+        if (request.full)
+        {
+            set_demand(lease, 0);
+        }
         lease.returned = 0;
     }
     for (const auto& it : request.accounts)
@@ -406,26 +419,26 @@
     return std::abs(share - held) < settings_.hysteresis * held ? held : share;
 }
 
-std::optional<lease_share> lease_grantor::grant_share(
-    vm_lease& lease, std::uint64_t sequence, core::time_point now) const
+lease_share lease_grantor::grant_share(
+    vm_lease& lease, double granted, std::uint64_t sequence,
+    core::time_point now) const
 {
     account_state& it = *lease.account;
-    const double counted = lease.counted();
-    const double available = it.flexible - (it.leased - counted);
     lease_share share;
-    const double granted = to_share(std::min(target(lease), available));
     share.share = static_cast<float>(granted);
-    if (granted == lease.newest() && granted == counted)
+    if (granted == lease.newest())
     {
-        return granted > 0 ? std::optional(share) : std::nullopt;
+        return share;
     }
-    it.unleased.advance(now);
-    if (granted != lease.newest())
+    const double counted = lease.counted();
+    lease.shares.push_back({sequence, granted});
+    const double grown = granted - counted;
+    if (grown <= 0)
     {
-        lease.shares.push_back({sequence, granted});
+        return share;
     }
-    const double grown = std::max(0.0, granted - counted);
-    if (settings_.keep_credit && grown > 0)
+    it.unleased.advance(now);
+    if (settings_.keep_credit)
     {
         share.credit = round_down(
             std::min(it.unleased.credit(), grown * it.declared.burst_tokens));
@@ -433,7 +446,21 @@
     }
     it.leased += grown;
     configure_unleased(it);
-    return granted > 0 ? std::optional(share) : std::nullopt;
+    return share;
+}
+
+std::uint64_t
+lease_grantor::base_of(const vm_record& own, const lease_request& request) const
+{
+    if (request.full || request.term != term_ || !settings_.name_changes)
+    {
+        return 0;
+    }
+    const bool known = std::any_of(
+        own.answers.begin(), own.answers.end(), [&](const sent_answer& it) {
+            return it.sequence == request.applied;
+        });
+    return known ? request.applied : 0;
 }
 
 lease_grant lease_grantor::grant(
@@ -444,14 +471,28 @@
     answer.sequence = request.sequence;
     answer.term = term_;
     answer.config_version = rates_.version;
+    answer.base = base_of(own, request);
     own.answers.push_back({request.sequence, now + lease_time_at_grantor});
+    std::size_t bytes = 0;
     for (auto pos = own.leases.begin(); pos != own.leases.end();)
     {
         auto& [name, lease] = *pos;
-        if (auto share = grant_share(lease, request.sequence, now))
+        const account_state& it = *lease.account;
+        const double unnamed = answer.base > 0 ? lease.under(answer.base) : 0.0;
+        const double available = it.flexible - (it.leased - lease.counted());
+        double granted = to_share(std::min(target(lease), available));
+        if (granted != unnamed &&
+            bytes + encoded_account_bytes(name) > max_named_bytes)
+        {
+            // Counted already, since the answer `base` can be in force.
+            granted = unnamed;
+        }
+        auto share = grant_share(lease, granted, request.sequence, now);
+        if (granted != unnamed || share.credit > 0)
         {
-            share->account = name;
-            answer.shares.push_back(std::move(*share));
+            share.account = name;
+            bytes += encoded_account_bytes(name);
+            answer.shares.push_back(std::move(share));
         }
         if (lease.demand <= 0 && lease.counted() <= 0)
         {
@@ -479,6 +520,16 @@
         drop_record(*vms_[request.vm].record, now);
         return std::nullopt;
     }
+    const bool follows =
+        own.sequence > 0 && own.sequence + 1 == request.sequence;
+    own.sequence = request.sequence;
+    if (!request.full && !follows)
+    {
+        // A request before it is missing, so other demand is not known. The
+        // holder names everything after a request without an answer.
+        own.sequence = 0;
+        return std::nullopt;
+    }
     take_demands(own, request);
     acknowledge(own, request, now);
     // Before the first grant an empty answer would end leases of the former
--- a/Libraries/LibRate/lease_grantor.hpp
+++ b/Libraries/LibRate/lease_grantor.hpp
@@ -44,6 +44,8 @@
     /// Part of the flexible share that a VM with demand gets at least, if it
     /// is free.
     double minimum_share = 0.02;
+    /// Names only the shares that changed, if the request allows it.
+    bool name_changes = true;
 };
 
 class lease_grantor
@@ -115,6 +117,8 @@
         {
             return shares.empty() ? 0.0 : shares.back().share;
         }
+        /// Share under the answer `sequence`, which can be in force.
+        double under(std::uint64_t sequence) const;
     };
 
     struct sent_answer
@@ -128,6 +132,7 @@
     {
         std::string vm;
         std::uint64_t incarnation = 0;
+        std::uint64_t sequence = 0; // Of the request last taken; 0: none.
         core::time_point heard{};
         std::vector<sent_answer> answers; // That may be in force, oldest first.
         std::map<std::string, vm_lease> leases;
@@ -155,8 +160,10 @@
         vm_record& own, const lease_request& request, core::time_point now);
     lease_grant
     grant(vm_record& own, const lease_request& request, core::time_point now);
-    std::optional<lease_share> grant_share(
-        vm_lease& lease, std::uint64_t sequence, core::time_point now) const;
+    lease_share grant_share(
+        vm_lease& lease, double share, std::uint64_t sequence,
+        core::time_point now) const;
+    std::uint64_t base_of(const vm_record& own, const lease_request& it) const;
     void forget_ended(core::time_point now);
     void drop_record(record_list::iterator it, core::time_point ended);
     void set_demand(vm_lease& lease, double demand) const;
--- a/Libraries/LibRate/lease_holder.cpp
+++ b/Libraries/LibRate/lease_holder.cpp
@@ -21,6 +21,14 @@
 // VMs every account would otherwise be named long after its last request.
 constexpr double rate_use_without_lease = 0.03;
 
+// A demand that differs from the one named before by less is not named again.
+// The grantor leaves room for a rise of 20%.
+constexpr double told_rise = 0.1;
+constexpr double told_fall = 0.3;
+
+// Repairs whatever the two sides could disagree about.
+constexpr int full_request_interval = 16;
+
 // Bounds the messages that refusals can cause.
 constexpr core::duration early_request_interval =
     std::chrono::milliseconds(200);
@@ -35,12 +43,12 @@
 {
     while (true)
     {
-        const bool lease_ends = it.leased > 0 && it.lease_end <= now;
+        const bool lease_ends = it.leased > 0 && lease_end_ <= now;
         const bool floor_grows =
             it.next_floor > it.floor && it.floor_grows_at <= now;
-        if (lease_ends && (!floor_grows || it.lease_end <= it.floor_grows_at))
+        if (lease_ends && (!floor_grows || lease_end_ <= it.floor_grows_at))
         {
-            it.bucket.advance(it.lease_end);
+            it.bucket.advance(lease_end_);
             it.leased = 0;
         }
         else if (floor_grows)
@@ -74,6 +82,8 @@
         return;
     }
     rates_ = rates;
+    // What a removed account held must be granted anew.
+    must_name_all_ = true;
     std::erase_if(accounts_, [&](const auto& it) {
         return !rates.accounts.contains(it.first);
     });
@@ -115,6 +125,16 @@
 
 lease_request lease_holder::start_request(core::time_point now)
 {
+    // After the end of its leases the grantor forgets what a VM asked for.
+    const bool answered =
+        sequence_ > 0 && applied_ == sequence_ && lease_end_ > now;
+    ++since_full_;
+    const bool full = !settings_.name_changes || must_name_all_ || !answered ||
+                      since_full_ >= full_request_interval;
+    if (full)
+    {
+        since_full_ = 0;
+    }
     ++sequence_;
     sent_[sequence_ % sent_.size()] = {sequence_, now};
     last_was_early_ = last_request_ && now - *last_request_ < renewal_interval;
@@ -127,6 +147,7 @@
     request.applied = applied_;
     request.term = term_;
     request.config_version = rates_.version;
+    request.full = full;
     return request;
 }
 
@@ -139,25 +160,43 @@
     lease_request request = start_request(now);
     for (auto& [name, it] : accounts_)
     {
-        advance(it, now);
-        update_demand(it, seconds);
-        const double enough =
-            std::max(
-                floor_use_without_lease * it.floor, rate_use_without_lease) *
-            it.declared.tokens_per_second;
-        const double returned = std::exchange(it.dropped, 0.0);
-        if (name.size() > max_account_name ||
-            (it.demand <= enough && returned <= 0))
+        if (it.asked > 0 || it.demand > 0 || it.told > 0 || it.dropped > 0)
         {
-            continue;
+            advance(it, now);
+            update_demand(it, seconds);
+            name_account(name, it, request);
         }
-        // More than the whole rate can't be used; an account that exceeds
-        // its rate must not hide where its other traffic is.
-        const double demand =
-            std::min(it.demand, it.declared.tokens_per_second);
-        request.accounts.push_back(
-            {name, static_cast<float>(demand), static_cast<float>(returned)});
     }
+    limit_size(request);
+    return request;
+}
+
+void lease_holder::name_account(
+    const std::string& name, account_state& it, lease_request& request)
+{
+    const double rate = it.declared.tokens_per_second;
+    const double enough =
+        std::max(floor_use_without_lease * it.floor, rate_use_without_lease) *
+        rate;
+    // More than the whole rate can't be used; an account that exceeds its
+    // rate must not hide where its other traffic is.
+    const double demand = it.demand <= enough ? 0.0 : std::min(it.demand, rate);
+    const double returned = std::exchange(it.dropped, 0.0);
+    const bool changed = request.full ? demand > 0
+                                      : demand > it.told * (1 + told_rise) ||
+                                            demand < it.told * (1 - told_fall);
+    if (name.size() > max_account_name || (!changed && returned <= 0))
+    {
+        it.told = request.full ? 0.0 : it.told;
+        return;
+    }
+    it.told = demand;
+    request.accounts.push_back(
+        {name, static_cast<float>(demand), static_cast<float>(returned)});
+}
+
+void lease_holder::limit_size(lease_request& request)
+{
     std::size_t bytes = 0;
     std::stable_sort(
         request.accounts.begin(), request.accounts.end(),
@@ -170,8 +209,9 @@
             bytes += encoded_account_bytes(it.account);
             return bytes > max_named_bytes;
         });
+    // The grantor has not been told of the rest.
+    must_name_all_ = end != request.accounts.end();
     request.accounts.erase(end, request.accounts.end());
-    return request;
 }
 
 core::time_point lease_holder::next_request_at() const
@@ -186,6 +226,32 @@
     return *last_request_ + (early ? early_request_interval : renewal_interval);
 }
 
+void lease_holder::set_granted(account_state& it, double share) const
+{
+    it.granted = share;
+    it.leased = share;
+    const double dropped = configure(it);
+    // Only what this grant made the holder drop is returned: the grantor
+    // still counts the larger share until it learns of this grant.
+    it.dropped = settings_.return_credit ? dropped : 0.0;
+}
+
+void lease_holder::end_unnamed(const lease_grant& grant)
+{
+    std::set<std::string_view> named;
+    for (const auto& it : grant.shares)
+    {
+        named.insert(it.account);
+    }
+    for (auto& [name, it] : accounts_)
+    {
+        if ((it.granted > 0 || it.leased > 0) && !named.contains(name))
+        {
+            set_granted(it, 0);
+        }
+    }
+}
+
 bool lease_holder::apply(const lease_grant& grant, core::time_point now)
 {
     const std::lock_guard lock(mutex_);
@@ -196,30 +262,42 @@
     {
         return false;
     }
+    const bool is_full = grant.base == 0;
+    if (!is_full &&
+        (grant.base != applied_ || grant.term != term_ || must_name_all_))
+    {
+        return false;
+    }
     applied_ = grant.sequence;
     term_ = grant.term;
-    std::map<std::string_view, const lease_share*> named;
-    for (const auto& it : grant.shares)
+    const bool lapsed = lease_end_ <= now;
+    if (is_full || lapsed)
     {
-        named.emplace(it.account, &it);
+        for (auto& [name, it] : accounts_)
+        {
+            advance(it, now); // With the former end of the lease.
+        }
     }
-    for (auto& [name, it] : accounts_)
+    lease_end_ = sent.sent + lease_time;
+    if (is_full)
+    {
+        end_unnamed(grant);
+    }
+    else if (lapsed)
     {
-        const auto pos = named.find(name);
-        if (pos == named.end() && it.leased <= 0)
+        for (auto& [name, it] : accounts_)
         {
-            continue;
+            set_granted(it, it.granted);
         }
-        advance(it, now);
-        it.leased = pos == named.end() ? 0.0 : pos->second->share;
-        it.lease_end = sent.sent + lease_time;
-        const double dropped = configure(it);
-        // Only what this grant made the holder drop is returned: the grantor
-        // still counts the larger share until it learns of this grant.
-        it.dropped = settings_.return_credit ? dropped : 0.0;
-        if (pos != named.end())
+    }
+    for (const auto& it : grant.shares)
+    {
+        const auto pos = accounts_.find(it.account);
+        if (pos != accounts_.end())
         {
-            it.bucket.add(pos->second->credit);
+            advance(pos->second, now);
+            set_granted(pos->second, it.share);
+            pos->second.bucket.add(it.credit);
         }
     }
     return true;
--- a/Libraries/LibRate/lease_holder.hpp
+++ b/Libraries/LibRate/lease_holder.hpp
@@ -29,6 +29,9 @@
     bool return_credit = true;
     /// Asks before the renewal is due, once, after a refusal without a lease.
     bool ask_early = true;
+    /// Names only accounts whose demand changed, when the grant before was
+    /// applied in time.
+    bool name_changes = true;
 };
 
 class lease_holder final : public rate_limiter
@@ -79,12 +82,13 @@
         double floor = 0; // In force; at most next_floor.
         double next_floor = 0;
         core::time_point floor_grows_at{};
-        double leased = 0; // Flexible share; 0 once lease_end has passed.
-        core::time_point lease_end{};
+        double granted = 0; // Flexible share of the grant in force.
+        double leased = 0;  // The same; 0 once lease_end_ has passed.
         token_bucket bucket;
         double asked = 0;   // Tokens asked for since the last request.
         double demand = 0;  // Tokens per second, smoothed.
         double dropped = 0; // Tokens to return with the next request.
+        double told = 0;    // Demand last named in a request.
     };
 
     struct sent_request
@@ -97,6 +101,11 @@
     double configure(account_state& it) const;
     void update_demand(account_state& it, double seconds) const;
     lease_request start_request(core::time_point now);
+    void name_account(
+        const std::string& name, account_state& it, lease_request& request);
+    void limit_size(lease_request& request);
+    void set_granted(account_state& it, double share) const;
+    void end_unnamed(const lease_grant& grant);
     double read(
         const std::string& account, core::time_point now,
         double (*value)(const account_state&));
@@ -109,6 +118,9 @@
     std::uint64_t sequence_ = 0;
     std::uint64_t applied_ = 0; // Never decreases.
     std::uint64_t term_ = 0;
+    core::time_point lease_end_{}; // Of all shares of the grant in force.
+    bool must_name_all_ = true;    // In the next request.
+    int since_full_ = 0;           // Requests.
     std::optional<core::time_point> last_request_;
     bool refused_without_lease_ = false; // Since the last request.
     bool last_was_early_ = false;
--- a/Libraries/LibRate/lease_messages.cpp
+++ b/Libraries/LibRate/lease_messages.cpp
@@ -134,7 +134,7 @@
     transfer_name(archive, it.vm);
     archive(
         it.incarnation, it.sequence, it.applied, it.term, it.config_version,
-        it.release);
+        it.release, it.full);
     transfer_list(archive, it.accounts);
 }
 
@@ -148,7 +148,7 @@
 template <typename Archive>
 void serialize(Archive& archive, lease_grant& it)
 {
-    archive(it.incarnation, it.sequence, it.term, it.config_version);
+    archive(it.incarnation, it.sequence, it.term, it.config_version, it.base);
     transfer_list(archive, it.shares);
 }
 
--- a/Libraries/LibRate/lease_messages.hpp
+++ b/Libraries/LibRate/lease_messages.hpp
@@ -41,6 +41,9 @@
     std::uint64_t config_version = 0;
     bool release = false; ///< The holder gave up every lease.
     std::vector<account_demand> accounts;
+    /// Every account with demand is named, and the answer must name every
+    /// share. Otherwise only what changed since the request before.
+    bool full = true;
 };
 
 struct lease_share
@@ -50,8 +53,8 @@
     float credit = 0; ///< Tokens to add once.
 };
 
-/// Replaces every lease of an earlier sequence: an account that is not named
-/// has none.
+/// Replaces every lease of an earlier sequence. An account that is not named
+/// has the share of the grant `base`, or none if that is 0.
 struct lease_grant
 {
     std::uint64_t incarnation = 0; ///< Of the request.
@@ -59,6 +62,9 @@
     std::uint64_t term = 0;
     std::uint64_t config_version = 0; ///< That the shares were computed for.
     std::vector<lease_share> shares;
+    /// Sequence of the grant of this term that must be in force when this one
+    /// is applied; 0: any.
+    std::uint64_t base = 0;
 };
 
 /// Bytes that one account takes in an encoded message.
--- a/Tests/LibRate/lease_faults.cpp
+++ b/Tests/LibRate/lease_faults.cpp
@@ -128,7 +128,8 @@
         w.ask(w.b, 1e5);
         REQUIRE(w.renew(w.b)); // All is leased to a.
         auto request = w.a.build_request(w.now);
-        request.accounts[0].tokens_per_second = 1;
+        request.full = true;
+        request.accounts = {{account, 1, 0}};
         w.grantor.handle(request, w.now); // Shrinks a's lease.
         request.applied = request.sequence;
         request.term += other_term ? 1 : 0;
@@ -146,6 +147,58 @@
     }
 }
 
+TEST_CASE("a grant of changes applies only after the grant it builds on")
+{
+    pair_of_holders w;
+    w.ask(w.a, 50);
+    REQUIRE(w.renew(w.a));
+    w.now += 1s;
+    w.ask(w.a, 50);
+    auto second = *w.grantor.handle(w.a.build_request(w.now), w.now);
+    CHECK_GT(second.base, 0);
+    for (const int fault : {0, 1, 2})
+    {
+        CAPTURE(fault);
+        auto changed = second;
+        changed.base += fault == 0 ? 1 : 0; // Never granted.
+        changed.term += fault == 1 ? 1 : 0;
+        changed.base -= fault == 2 ? 1 : 0;
+        // Base 0 replaces everything and needs no other grant.
+        CHECK_EQ(w.a.apply(changed, w.now), changed.base == 0);
+    }
+}
+
+TEST_CASE("what a grant of changes leaves out goes on after a lapse")
+{
+    pair_of_holders w;
+    w.ask(w.a, 1e6);
+    REQUIRE(w.renew(w.a));
+    w.now += 3s;
+    w.ask(w.a, 1e6);
+    const auto grant = w.grantor.handle(w.a.build_request(w.now), w.now);
+    REQUIRE_GT(grant->base, 0);
+    w.now += 2s;
+    CHECK_EQ(w.a.share(account, w.now), doctest::Approx(0.1));
+    REQUIRE(w.a.apply(*grant, w.now));
+    CHECK_EQ(w.a.share(account, w.now), doctest::Approx(0.7));
+    CHECK_LE(w.a.credit(account, w.now), doctest::Approx(100.0));
+    w.now += 2s - 1ns;
+    CHECK_EQ(w.a.share(account, w.now), doctest::Approx(0.7));
+    CHECK_EQ(w.a.share(account, w.now + 1ns), doctest::Approx(0.1));
+}
+
+TEST_CASE("a request of changes without the one before has no answer")
+{
+    pair_of_holders w;
+    w.ask(w.a, 50);
+    REQUIRE(w.renew(w.a));
+    auto request = w.a.build_request(w.now);
+    REQUIRE_FALSE(request.full);
+    ++request.sequence;
+    CHECK_FALSE(w.grantor.handle(request, w.now));
+    CHECK(w.a.build_request(w.now).full);
+}
+
 TEST_CASE("grants that must not be applied are refused")
 {
     pair_of_holders w;
--- a/Tests/LibRate/lease_messages.cpp
+++ b/Tests/LibRate/lease_messages.cpp
@@ -27,9 +27,11 @@
     CHECK_EQ(request.config_version, 12);
     REQUIRE_EQ(request.accounts.size(), 2);
     CHECK_EQ(request.accounts[0].returned_credit, 2);
-    const rate::lease_grant sent{7, 8, 3, 12, {{"acme", 0.25F, 4}}};
+    CHECK(request.full);
+    const rate::lease_grant sent{7, 8, 3, 12, {{"acme", 0.25F, 4}}, 5};
     const auto grant = rate::decode_lease_grant(rate::encode(sent)).value();
     CHECK_EQ(grant.term, 3);
+    CHECK_EQ(grant.base, 5);
     REQUIRE_EQ(grant.shares.size(), 1);
     CHECK_EQ(grant.shares[0].share, 0.25F);
 }
