LibRate: Send account numbers in place of names

Cause: most bytes of lease messages were names and fixed 8-byte fields. Change: once a grant has shown that the grantor has the same account table (a digest of all names), a holder sends numbers in the order of the names; the answer has the form of the request. A grantor with another table does not answer, and the holder goes back to names. Counters take 7 bits a byte, amounts of 0 are left out.

--- a/Libraries/LibRate/declared_rates.hpp
+++ b/Libraries/LibRate/declared_rates.hpp
@@ -31,6 +31,10 @@
     std::set<std::string> vms; ///< At most floor_slots.
     std::map<std::string, account_rate> accounts;
 
+    /// Identifies the set of account names, never 0. VMs with the same table
+    /// number the accounts alike, in the order of their names.
+    std::uint64_t account_table() const;
+
     /// Share of an account's rate that `vm` holds without a lease. A VM that
     /// is not declared has none.
     double floor_share(const std::string& vm, const account_rate& it) const
--- a/Libraries/LibRate/lease_grantor.cpp
+++ b/Libraries/LibRate/lease_grantor.cpp
@@ -103,9 +103,19 @@
     std::erase_if(vms_, [&](const auto& it) {
         return !rates.vms.contains(it.first);
     });
+    table_.clear();
+    table_id_ = rates.account_table();
     for (const auto& [name, declared] : rates.accounts)
     {
-        account_state& it = accounts_.try_emplace(name, now).first->second;
+        const auto [pos, is_new] = accounts_.try_emplace(name, now);
+        account_state& it = pos->second;
+        if (is_new)
+        {
+            it.id = next_account_id_++;
+            it.name = name;
+        }
+        it.number = static_cast<std::uint32_t>(table_.size());
+        table_.push_back(&it);
         it.unleased.advance(now);
         it.declared = declared;
     }
@@ -123,7 +133,7 @@
     }
     for (auto& record : records_)
     {
-        for (auto& [name, lease] : record.leases)
+        for (auto& [id, lease] : record.leases)
         {
             const double demand =
                 rates_.vms.contains(record.vm) ? lease.demand : 0.0;
@@ -257,7 +267,7 @@
         if (vm.record)
         {
             // The demand of a former process; its leases still count.
-            for (auto& [name, lease] : (*vm.record)->leases)
+            for (auto& [id, lease] : (*vm.record)->leases)
             {
                 set_demand(lease, 0);
             }
@@ -281,7 +291,7 @@
 void lease_grantor::drop_record(
     record_list::iterator it, core::time_point ended)
 {
-    for (auto& [name, lease] : it->leases)
+    for (auto& [id, lease] : it->leases)
     {
         account_state& account = *lease.account;
         set_demand(lease, 0);
@@ -328,9 +338,20 @@
     return **vm.record;
 }
 
+lease_grantor::account_state*
+lease_grantor::find(const account_demand& it, bool numbered)
+{
+    if (numbered)
+    {
+        return it.number < table_.size() ? table_[it.number] : nullptr;
+    }
+    const auto pos = accounts_.find(it.account);
+    return pos == accounts_.end() ? nullptr : &pos->second;
+}
+
 void lease_grantor::take_demands(vm_record& own, const lease_request& request)
 {
-    for (auto& [name, lease] : own.leases)
+    for (auto& [id, lease] : own.leases)
     {
         if (request.full)
         {
@@ -340,16 +361,16 @@
     }
     for (const auto& it : request.accounts)
     {
-        const auto account = accounts_.find(it.account);
-        if (account == accounts_.end())
+        account_state* const account = find(it, request.table != 0);
+        if (account == nullptr)
         {
             continue;
         }
-        vm_lease& lease = own.leases[it.account];
+        vm_lease& lease = own.leases[account->id];
         if (lease.account == nullptr)
         {
-            lease.account = &account->second;
-            ++lease.account->leases;
+            lease.account = account;
+            ++account->leases;
         }
         set_demand(lease, it.tokens_per_second);
         lease.returned = it.returned_credit;
@@ -363,7 +384,7 @@
         return it.end <= now || (settings_.use_acknowledgements &&
                                  it.sequence < request.applied);
     });
-    for (auto& [name, lease] : own.leases)
+    for (auto& [id, lease] : own.leases)
     {
         const double before = lease.counted();
         if (own.answers.empty())
@@ -472,17 +493,19 @@
     answer.term = term_;
     answer.config_version = rates_.version;
     answer.base = base_of(own, request);
+    answer.numbered = request.table != 0;
+    answer.table = table_id_;
     own.answers.push_back({request.sequence, now + lease_time_at_grantor});
     std::size_t bytes = 0;
     for (auto pos = own.leases.begin(); pos != own.leases.end();)
     {
-        auto& [name, lease] = *pos;
+        vm_lease& lease = pos->second;
         const account_state& it = *lease.account;
         const double unnamed = answer.base > 0 ? lease.under(answer.base) : 0.0;
         const double available = it.flexible - (it.leased - lease.counted());
         double granted = to_share(std::min(target(lease), available));
-        if (granted != unnamed &&
-            bytes + encoded_account_bytes(name) > max_named_bytes)
+        const std::size_t needed = encoded_account_bytes(it.name);
+        if (granted != unnamed && bytes + needed > max_named_bytes)
         {
             // Counted already, since the answer `base` can be in force.
             granted = unnamed;
@@ -490,8 +513,12 @@
         auto share = grant_share(lease, granted, request.sequence, now);
         if (granted != unnamed || share.credit > 0)
         {
-            share.account = name;
-            bytes += encoded_account_bytes(name);
+            share.number = it.number;
+            if (!answer.numbered)
+            {
+                share.account = it.name;
+            }
+            bytes += needed;
             answer.shares.push_back(std::move(share));
         }
         if (lease.demand <= 0 && lease.counted() <= 0)
@@ -508,7 +535,8 @@
 std::optional<lease_grant>
 lease_grantor::handle(const lease_request& request, core::time_point now)
 {
-    if (!accept(request))
+    // A holder that gets no answer goes back to names.
+    if ((request.table != 0 && request.table != table_id_) || !accept(request))
     {
         return std::nullopt;
     }
@@ -545,9 +573,14 @@
 lease_grantor::leased(const std::string& account, core::time_point now) const
 {
     double share = 0;
+    const auto pos = accounts_.find(account);
+    if (pos == accounts_.end())
+    {
+        return share;
+    }
     for (const auto& record : records_)
     {
-        const auto lease = record.leases.find(account);
+        const auto lease = record.leases.find(pos->second.id);
         if (lease != record.leases.end() && !record.answers.empty() &&
             record.answers.back().end > now)
         {
--- a/Libraries/LibRate/lease_grantor.hpp
+++ b/Libraries/LibRate/lease_grantor.hpp
@@ -91,6 +91,9 @@
     {
         explicit account_state(core::time_point now) : unleased(now) {}
 
+        std::uint32_t id = 0; // Never used again for another account.
+        std::string name;
+        std::uint32_t number = 0; // In table_, if it is declared.
         account_rate declared;
         double flexible = 0;
         // Sums over the leases. Shares are multiples of share_unit, so that
@@ -135,7 +138,7 @@
         std::uint64_t sequence = 0; // Of the request last taken; 0: none.
         core::time_point heard{};
         std::vector<sent_answer> answers; // That may be in force, oldest first.
-        std::map<std::string, vm_lease> leases;
+        std::map<std::uint32_t, vm_lease> leases; // By account_state::id.
     };
     using record_list = std::list<vm_record>;
 
@@ -155,6 +158,7 @@
 
     bool accept(const lease_request& request);
     vm_record& record_of(const lease_request& request, core::time_point now);
+    account_state* find(const account_demand& it, bool numbered);
     void take_demands(vm_record& own, const lease_request& request);
     void acknowledge(
         vm_record& own, const lease_request& request, core::time_point now);
@@ -180,6 +184,9 @@
     std::uint64_t term_ = 0;
     core::time_point grants_from_{};
     std::map<std::string, account_state> accounts_;
+    std::uint32_t next_account_id_ = 0;
+    std::uint64_t table_id_ = 0;
+    std::vector<account_state*> table_; // Declared accounts by number.
     std::map<std::string, vm_state> vms_;
     record_list records_;            // Least recently heard first.
     std::vector<older_rates> older_; // With a larger floor somewhere.
--- a/Libraries/LibRate/lease_holder.cpp
+++ b/Libraries/LibRate/lease_holder.cpp
@@ -87,10 +87,14 @@
     std::erase_if(accounts_, [&](const auto& it) {
         return !rates.accounts.contains(it.first);
     });
+    table_.clear();
+    table_id_ = rates.account_table();
     for (const auto& [name, declared] : rates.accounts)
     {
         const auto [pos, is_new] = accounts_.try_emplace(name, now);
         account_state& it = pos->second;
+        it.number = static_cast<std::uint32_t>(table_.size());
+        table_.push_back(&it);
         advance(it, now);
         const double floor = rates.floor_share(settings_.vm, declared);
         it.declared = declared;
@@ -136,7 +140,10 @@
         since_full_ = 0;
     }
     ++sequence_;
-    sent_[sequence_ % sent_.size()] = {sequence_, now};
+    const bool numbered =
+        settings_.use_numbers && answered && grantor_table_ == table_id_;
+    const std::uint64_t table = numbered ? table_id_ : 0;
+    sent_[sequence_ % sent_.size()] = {sequence_, now, table};
     last_was_early_ = last_request_ && now - *last_request_ < renewal_interval;
     last_request_ = now;
     refused_without_lease_ = false;
@@ -148,6 +155,7 @@
     request.term = term_;
     request.config_version = rates_.version;
     request.full = full;
+    request.table = table;
     return request;
 }
 
@@ -192,7 +200,8 @@
     }
     it.told = demand;
     request.accounts.push_back(
-        {name, static_cast<float>(demand), static_cast<float>(returned)});
+        {request.table == 0 ? name : std::string(), static_cast<float>(demand),
+         static_cast<float>(returned), it.number});
 }
 
 void lease_holder::limit_size(lease_request& request)
@@ -206,7 +215,9 @@
     const auto end = std::find_if(
         request.accounts.begin(), request.accounts.end(),
         [&](const account_demand& it) {
-            bytes += encoded_account_bytes(it.account);
+            bytes += encoded_account_bytes(
+                request.table == 0 ? std::string_view(it.account)
+                                   : std::string_view("12345"));
             return bytes > max_named_bytes;
         });
     // The grantor has not been told of the rest.
@@ -236,16 +247,22 @@
     it.dropped = settings_.return_credit ? dropped : 0.0;
 }
 
-void lease_holder::end_unnamed(const lease_grant& grant)
+lease_holder::account_state*
+lease_holder::find(const lease_share& it, bool numbered)
 {
-    std::set<std::string_view> named;
-    for (const auto& it : grant.shares)
+    if (numbered)
     {
-        named.insert(it.account);
+        return it.number < table_.size() ? table_[it.number] : nullptr;
     }
+    const auto pos = accounts_.find(it.account);
+    return pos == accounts_.end() ? nullptr : &pos->second;
+}
+
+void lease_holder::end_unnamed(const std::set<const account_state*>& named)
+{
     for (auto& [name, it] : accounts_)
     {
-        if ((it.granted > 0 || it.leased > 0) && !named.contains(name))
+        if ((it.granted > 0 || it.leased > 0) && !named.contains(&it))
         {
             set_granted(it, 0);
         }
@@ -263,6 +280,10 @@
         return false;
     }
     const bool is_full = grant.base == 0;
+    if (grant.numbered && sent.table != table_id_)
+    {
+        return false; // The numbers have another meaning by now.
+    }
     if (!is_full &&
         (grant.base != applied_ || grant.term != term_ || must_name_all_))
     {
@@ -270,6 +291,7 @@
     }
     applied_ = grant.sequence;
     term_ = grant.term;
+    grantor_table_ = grant.numbered ? sent.table : grant.table;
     const bool lapsed = lease_end_ <= now;
     if (is_full || lapsed)
     {
@@ -279,9 +301,14 @@
         }
     }
     lease_end_ = sent.sent + lease_time;
+    std::set<const account_state*> named;
+    for (const auto& it : grant.shares)
+    {
+        named.insert(find(it, grant.numbered));
+    }
     if (is_full)
     {
-        end_unnamed(grant);
+        end_unnamed(named);
     }
     else if (lapsed)
     {
@@ -292,12 +319,11 @@
     }
     for (const auto& it : grant.shares)
     {
-        const auto pos = accounts_.find(it.account);
-        if (pos != accounts_.end())
+        if (account_state* const account = find(it, grant.numbered))
         {
-            advance(pos->second, now);
-            set_granted(pos->second, it.share);
-            pos->second.bucket.add(it.credit);
+            advance(*account, now);
+            set_granted(*account, it.share);
+            account->bucket.add(it.credit);
         }
     }
     return true;
--- a/Libraries/LibRate/lease_holder.hpp
+++ b/Libraries/LibRate/lease_holder.hpp
@@ -16,6 +16,8 @@
 #include <map>
 #include <mutex>
 #include <optional>
+#include <set>
+#include <vector>
 
 namespace hyssoploft::rate {
 
@@ -32,6 +34,8 @@
     /// Names only accounts whose demand changed, when the grant before was
     /// applied in time.
     bool name_changes = true;
+    /// Uses numbers for accounts once a grantor has shown the same table.
+    bool use_numbers = true;
 };
 
 class lease_holder final : public rate_limiter
@@ -79,7 +83,8 @@
         explicit account_state(core::time_point now) : bucket(now) {}
 
         account_rate declared;
-        double floor = 0; // In force; at most next_floor.
+        std::uint32_t number = 0; // In table_.
+        double floor = 0;         // In force; at most next_floor.
         double next_floor = 0;
         core::time_point floor_grows_at{};
         double granted = 0; // Flexible share of the grant in force.
@@ -95,6 +100,7 @@
     {
         std::uint64_t sequence = 0;
         core::time_point sent{};
+        std::uint64_t table = 0; // 0: accounts went by name.
     };
 
     void advance(account_state& it, core::time_point now) const;
@@ -105,7 +111,8 @@
         const std::string& name, account_state& it, lease_request& request);
     void limit_size(lease_request& request);
     void set_granted(account_state& it, double share) const;
-    void end_unnamed(const lease_grant& grant);
+    account_state* find(const lease_share& it, bool numbered);
+    void end_unnamed(const std::set<const account_state*>& named);
     double read(
         const std::string& account, core::time_point now,
         double (*value)(const account_state&));
@@ -114,6 +121,9 @@
     mutable std::mutex mutex_; // Guards everything below.
     declared_rates rates_;
     std::map<std::string, account_state> accounts_;
+    std::vector<account_state*> table_; // Accounts by number.
+    std::uint64_t table_id_ = 0;
+    std::uint64_t grantor_table_ = 0;    // As of the last grant by name.
     std::array<sent_request, 8> sent_{}; // By sequence modulo its size.
     std::uint64_t sequence_ = 0;
     std::uint64_t applied_ = 0; // Never decreases.
--- a/Libraries/LibRate/lease_messages.cpp
+++ b/Libraries/LibRate/lease_messages.cpp
@@ -1,12 +1,14 @@
-// Encodes lease messages. Lengths are 1 or 2 bytes: cereal's own size tags
-// take 8 bytes, more than most names.
+// Encodes lease messages. Lengths and counters take 7 bits a byte: cereal's
+// own size tags take 8 bytes, more than most names.
 
 #include <LibRate/lease_messages.hpp>
 
 #include <cereal/archives/portable_binary.hpp>
 
 #include <cmath>
+#include <limits>
 #include <sstream>
+#include <stdexcept>
 
 namespace hyssoploft::rate {
 
@@ -24,30 +26,102 @@
     archive(cereal::binary_data(name.data(), name.size()));
 }
 
-template <typename Archive, typename T>
-void transfer_list(Archive& archive, std::vector<T>& list)
+template <typename Archive>
+void transfer_number(Archive& archive, std::uint64_t& number)
 {
-    auto size =
-        static_cast<std::uint16_t>(std::min(list.size(), max_named_accounts));
-    archive(size);
-    // Entries are read one by one, so that a forged count allocates nothing.
+    std::uint8_t byte = 0;
     if constexpr (Archive::is_loading::value)
     {
-        list.clear();
-        for (std::uint16_t n = 0; n < size; ++n)
+        number = 0;
+        for (int shift = 0;; shift += 7)
         {
-            archive(list.emplace_back());
+            archive(byte);
+            if (shift > 63 || (shift == 63 && byte > 1))
+            {
+                throw std::out_of_range("number of more than 64 bits");
+            }
+            number |= static_cast<std::uint64_t>(byte & 0x7f) << shift;
+            if (byte < 0x80)
+            {
+                return;
+            }
         }
     }
     else
     {
-        for (std::uint16_t n = 0; n < size; ++n)
+        for (std::uint64_t rest = number;; rest >>= 7)
         {
-            archive(list[n]);
+            byte = static_cast<std::uint8_t>(
+                (rest & 0x7f) | (rest > 0x7f ? 0x80 : 0));
+            archive(byte);
+            if (rest <= 0x7f)
+            {
+                return;
+            }
         }
     }
 }
 
+// An account by number or name, with one bit that says whether a second
+// amount follows.
+template <typename Archive>
+void transfer_account(
+    Archive& archive, bool numbered, std::string& name, std::uint32_t& number,
+    float& second)
+{
+    std::uint64_t key =
+        (numbered ? std::uint64_t{number} << 1 : 0) + (second > 0 ? 1 : 0);
+    transfer_number(archive, key);
+    if (!numbered)
+    {
+        transfer_name(archive, name);
+    }
+    if (key >> 1 > std::numeric_limits<std::uint32_t>::max())
+    {
+        throw std::out_of_range("account number of more than 32 bits");
+    }
+    number = static_cast<std::uint32_t>(key >> 1);
+    if (key % 2 != 0)
+    {
+        archive(second);
+    }
+}
+
+template <typename Archive>
+void transfer_entry(Archive& archive, bool numbered, account_demand& it)
+{
+    transfer_account(
+        archive, numbered, it.account, it.number, it.returned_credit);
+    archive(it.tokens_per_second);
+}
+
+template <typename Archive>
+void transfer_entry(Archive& archive, bool numbered, lease_share& it)
+{
+    transfer_account(archive, numbered, it.account, it.number, it.credit);
+    archive(it.share);
+}
+
+template <typename Archive, typename T>
+void transfer_list(Archive& archive, bool numbered, std::vector<T>& list)
+{
+    std::uint64_t size = std::min(list.size(), max_named_accounts);
+    transfer_number(archive, size);
+    // Entries are read one by one, so that a forged count allocates nothing.
+    if constexpr (Archive::is_loading::value)
+    {
+        list.clear();
+    }
+    for (std::uint64_t n = 0; n < size; ++n)
+    {
+        if constexpr (Archive::is_loading::value)
+        {
+            list.emplace_back();
+        }
+        transfer_entry(archive, numbered, list[n]);
+    }
+}
+
 bool is_amount(float it)
 {
     return std::isfinite(it) && it >= 0;
@@ -121,35 +195,33 @@
 
 } // namespace
 
-template <typename Archive>
-void serialize(Archive& archive, account_demand& it)
-{
-    transfer_name(archive, it.account);
-    archive(it.tokens_per_second, it.returned_credit);
-}
-
 template <typename Archive>
 void serialize(Archive& archive, lease_request& it)
 {
     transfer_name(archive, it.vm);
-    archive(
-        it.incarnation, it.sequence, it.applied, it.term, it.config_version,
-        it.release, it.full);
-    transfer_list(archive, it.accounts);
-}
-
-template <typename Archive>
-void serialize(Archive& archive, lease_share& it)
-{
-    transfer_name(archive, it.account);
-    archive(it.share, it.credit);
+    archive(it.incarnation);
+    transfer_number(archive, it.sequence);
+    transfer_number(archive, it.applied);
+    transfer_number(archive, it.term);
+    transfer_number(archive, it.config_version);
+    archive(it.release, it.full, it.table);
+    transfer_list(archive, it.table != 0, it.accounts);
 }
 
 template <typename Archive>
 void serialize(Archive& archive, lease_grant& it)
 {
-    archive(it.incarnation, it.sequence, it.term, it.config_version, it.base);
-    transfer_list(archive, it.shares);
+    archive(it.incarnation);
+    transfer_number(archive, it.sequence);
+    transfer_number(archive, it.term);
+    transfer_number(archive, it.config_version);
+    transfer_number(archive, it.base);
+    archive(it.numbered);
+    if (!it.numbered)
+    {
+        archive(it.table);
+    }
+    transfer_list(archive, it.numbered, it.shares);
 }
 
 std::string encode(const lease_request& it)
--- a/Libraries/LibRate/lease_messages.hpp
+++ b/Libraries/LibRate/lease_messages.hpp
@@ -2,8 +2,9 @@
 #define HYSSOPLOFT_LIBRATE_LEASE_MESSAGES_HPP
 
 // Messages between lease holders and the grantor. One message carries all
-// accounts of a VM that need more than their floor. A name takes its length
-// plus one byte; amounts are single precision.
+// accounts of a VM that need more than their floor. An account goes by name, or
+// by its number in the order of all declared names: both sides must then have
+// the same account table. Amounts are single precision.
 
 #include <absl/status/statusor.h>
 
@@ -29,6 +30,7 @@
     std::string account;
     float tokens_per_second = 0; ///< Demand at this VM, floor included.
     float returned_credit = 0;   ///< Tokens dropped when the share shrank.
+    std::uint32_t number = 0;    ///< In place of the name.
 };
 
 struct lease_request
@@ -44,13 +46,16 @@
     /// Every account with demand is named, and the answer must name every
     /// share. Otherwise only what changed since the request before.
     bool full = true;
+    /// Account table that the numbers refer to; 0: accounts go by name.
+    std::uint64_t table = 0;
 };
 
 struct lease_share
 {
     std::string account;
-    float share = 0;  ///< Of the account's rate, besides the floor.
-    float credit = 0; ///< Tokens to add once.
+    float share = 0;          ///< Of the account's rate, besides the floor.
+    float credit = 0;         ///< Tokens to add once.
+    std::uint32_t number = 0; ///< In place of the name.
 };
 
 /// Replaces every lease of an earlier sequence. An account that is not named
@@ -65,12 +70,16 @@
     /// Sequence of the grant of this term that must be in force when this one
     /// is applied; 0: any.
     std::uint64_t base = 0;
+    /// Accounts go by number in the table of the request.
+    bool numbered = false;
+    /// Account table of the grantor, if accounts go by name.
+    std::uint64_t table = 0;
 };
 
-/// Bytes that one account takes in an encoded message.
+/// Bytes that one account takes in an encoded message at most.
 constexpr std::size_t encoded_account_bytes(std::string_view account)
 {
-    return 1 + account.size() + 2 * sizeof(float);
+    return 3 + account.size() + 2 * sizeof(float);
 }
 
 /// cereal portable binary.
--- a/Tests/LibRate/lease_faults.cpp
+++ b/Tests/LibRate/lease_faults.cpp
@@ -199,6 +199,34 @@
     CHECK(w.a.build_request(w.now).full);
 }
 
+TEST_CASE("account numbers are used only between equal account tables")
+{
+    pair_of_holders w;
+    w.ask(w.a, 50);
+    CHECK_EQ(w.a.build_request(w.now).table, 0);
+    w.ask(w.a, 50);
+    REQUIRE(w.renew(w.a));
+    w.ask(w.a, 60);
+    const auto numbered = w.a.build_request(w.now);
+    CHECK_NE(numbered.table, 0);
+    const auto grant = w.grantor.handle(numbered, w.now);
+    REQUIRE(grant->numbered);
+    // An account that comes first in the order moves all numbers.
+    auto more = rates_of(100);
+    more.version = 2;
+    more.accounts["aaa"] = {100, 1000, 0.4};
+    w.a.install(more, w.now);
+    CHECK_FALSE(w.a.apply(*grant, w.now));
+    w.ask(w.b, 1e5);
+    REQUIRE(w.renew(w.b));
+    w.grantor.install(more, w.now);
+    w.ask(w.b, 2e5);
+    CHECK_FALSE(w.renew(w.b)); // By numbers of the former table.
+    w.ask(w.b, 2e5);
+    CHECK(w.renew(w.b)); // By name.
+    CHECK_EQ(w.grantor.leased("aaa", w.now), 0);
+}
+
 TEST_CASE("grants that must not be applied are refused")
 {
     pair_of_holders w;
--- a/Tests/LibRate/lease_messages.cpp
+++ b/Tests/LibRate/lease_messages.cpp
@@ -36,6 +36,23 @@
     CHECK_EQ(grant.shares[0].share, 0.25F);
 }
 
+TEST_CASE("accounts go by number in an encoded message")
+{
+    auto sent = sample_request();
+    sent.table = 9;
+    sent.sequence = ~std::uint64_t{0};
+    sent.accounts = {{"", 10, 0, 0}, {"", 5, 2, 0xffffffff}};
+    const auto bytes = rate::encode(sent);
+    CHECK_LT(bytes.size(), rate::encode(sample_request()).size() + 12);
+    const auto request = rate::decode_lease_request(bytes).value();
+    CHECK_EQ(request.sequence, sent.sequence);
+    REQUIRE_EQ(request.accounts.size(), 2);
+    CHECK_EQ(request.accounts[0].returned_credit, 0);
+    CHECK_EQ(request.accounts[1].number, 0xffffffff);
+    CHECK_EQ(request.accounts[1].returned_credit, 2);
+    CHECK_EQ(request.accounts[1].tokens_per_second, 5);
+}
+
 TEST_CASE("damaged lease messages are refused")
 {
     const std::string good = rate::encode(sample_request());
