Tests: Change account numbers in the lease properties

Cause: the random schedules had one account, whose number never changed. Change: a schedule can declare and remove an account that comes before it.

--- a/Specifications/rate_lease.pml
+++ b/Specifications/rate_lease.pml
@@ -18,7 +18,8 @@
 #define LEASE_AT_HOLDER (LEASE + DRIFT)
 #define ELECTION 1
 #define TICKS 5
-#define REQUESTS 2 /* Of holder 0; holder 1 sends one. */
+#define NOBODY 2   /* Neither leader. */
+#define REQUESTS 3 /* Of holder 0; holder 1 sends one. */
 
 #ifdef BROKEN_GRANTOR_DRIFT
 #define HOLD LEASE
@@ -34,16 +35,21 @@
 byte sent_at[2];    /* Of the newest request. */
 byte sequence[2];   /* Of the newest request. */
 byte applied[2];    /* Of the grant in force. */
+byte applied_by[2]; /* Its leader. */
+byte granted[2];    /* Its units, also after they ended. */
 
 /* One request of each holder in transit, repeatable until replaced. */
 bool asked[2];
 byte asked_sequence[2];
 byte asked_applied[2];
 byte asked_units[2];
+byte asked_by[2];   /* Leader of the grant in force. */
 
 /* One grant for each holder in transit; an older one can stay behind. */
 byte grant_sequence[2];
 byte grant_units[2];
+byte grant_by[2];   /* Leader. */
+byte grant_base[2]; /* Not 0: the units of that grant of this leader stay. */
 
 /* Two grantors: each counts up to two grants for each holder. */
 bool leads[2];
@@ -95,6 +101,19 @@
     fi
 }
 
+#ifdef BROKEN_BASE
+/* Takes the newest answer for the one in force; the holder checks nothing. */
+#define base_known(l, h) (seq_b[at(l, h)] > 0)
+#define has_base(h) true
+#else
+#define base_known(l, h) \
+    (seq_b[at(l, h)] > 0 && seq_b[at(l, h)] == asked_applied[h] && \
+     asked_by[h] == l)
+#define has_base(h) \
+    (grant_base[h] == 0 || \
+     (grant_base[h] == applied[h] && grant_by[h] == applied_by[h]))
+#endif
+
 inline handle(l, h)
 {
     seen[at(l, h)] = asked_sequence[h];
@@ -109,6 +128,14 @@
         free = UNITS;
 #endif
         give = (asked_units[h] < free -> asked_units[h] : free);
+        /* A grant that names nothing keeps the units of the grant that the
+           holder reported, if this leader knows them. */
+        if
+        :: base_known(l, h) && count_b[at(l, h)] <= free ->
+            give = count_b[at(l, h)];
+            base = seq_b[at(l, h)]
+        :: true
+        fi;
         count_a[at(l, h)] = max(count_a[at(l, h)], count_b[at(l, h)]);
         end_a[at(l, h)] = max(end_a[at(l, h)], end_b[at(l, h)]);
         seq_a[at(l, h)] = max(seq_a[at(l, h)], seq_b[at(l, h)]);
@@ -118,13 +145,15 @@
         /* The new answer may overtake one that is still in transit: either
            can be the one that arrives. */
         if
-        :: grant_sequence[h] = asked_sequence[h]; grant_units[h] = give
+        :: grant_sequence[h] = asked_sequence[h]; grant_units[h] = give;
+           grant_by[h] = l; grant_base[h] = base
         :: skip /* Lost. */
         fi
     :: else
     fi;
     free = 0;
-    give = 0
+    give = 0;
+    base = 0
 }
 
 #define is_new(h) (grant_sequence[h] > applied[h])
@@ -136,15 +165,28 @@
 #define lease_start(h) sent_at[h]
 #endif
 
+/* A grant that was applied, or answers an older request, changes nothing any
+   more; without it there are fewer states. */
+inline drop_grant(h)
+{
+    grant_sequence[h] = 0;
+    grant_units[h] = 0;
+    grant_by[h] = 0;
+    grant_base[h] = 0
+}
+
 inline apply(h)
 {
     /* A holder knows when it sent the newest request only. */
     if
-    :: grant_sequence[h] == sequence[h] && is_new(h) &&
+    :: grant_sequence[h] == sequence[h] && is_new(h) && has_base(h) &&
        now < lease_start(h) + LEASE_AT_HOLDER ->
         applied[h] = grant_sequence[h];
-        share[h] = grant_units[h];
-        ends[h] = lease_start(h) + LEASE_AT_HOLDER
+        applied_by[h] = grant_by[h];
+        granted[h] = (grant_base[h] > 0 -> granted[h] : grant_units[h]);
+        share[h] = granted[h];
+        ends[h] = lease_start(h) + LEASE_AT_HOLDER;
+        drop_grant(h)
     :: else
     fi
 }
@@ -153,20 +195,30 @@
 {
     sequence[h] = sequence[h] + 1;
     sent_at[h] = now;
+    drop_grant(h);
     asked[h] = true;
     asked_sequence[h] = sequence[h];
     asked_applied[h] = applied[h];
+    asked_by[h] = applied_by[h];
     asked_units[h] = units
 }
 
 inline expire(h)
 {
     if
-    :: ends[h] <= now -> share[h] = 0
+    :: ends[h] <= now -> share[h] = 0; ends[h] = 0
     :: else
     fi
 }
 
+/* What a leader that stepped down knew is of no use any more. */
+inline clear(l, h)
+{
+    seen[at(l, h)] = 0;
+    count_a[at(l, h)] = 0; end_a[at(l, h)] = 0; seq_a[at(l, h)] = 0;
+    count_b[at(l, h)] = 0; end_b[at(l, h)] = 0; seq_b[at(l, h)] = 0
+}
+
 /* Time passes; leases end and a leader without contact steps down in it. */
 inline tick()
 {
@@ -174,7 +226,10 @@
     expire(0);
     expire(1);
     if
-    :: leads[0] && down_at > 0 && now >= down_at -> leads[0] = false
+    :: leads[0] && down_at > 0 && now >= down_at ->
+        leads[0] = false;
+        clear(0, 0);
+        clear(0, 1)
     :: else
     fi
 }
@@ -195,13 +250,16 @@
 {
     /* Without credit; a new process applies no grant to the former one. */
     share[h] = 0;
-    applied[h] = sequence[h]
+    granted[h] = 0;
+    applied[h] = sequence[h];
+    applied_by[h] = NOBODY
 }
 
 active proctype system()
 {
     byte free = 0;
     byte give = 0;
+    byte base = 0;
     leads[0] = true;
     do
     :: atomic { now < TICKS -> tick() }
--- a/Tests/LibRate/lease_properties.cpp
+++ b/Tests/LibRate/lease_properties.cpp
@@ -17,7 +17,7 @@
 void act(tests::lease_world& world, const fault& it)
 {
     const int vm = it[1] % 8;
-    switch (it[0] % 10)
+    switch (it[0] % 11)
     {
     case 0:
         return world.cut(vm, true);
@@ -41,6 +41,8 @@
             world.set_demand(n, (it[1] >> n) % 2 == 0 ? 1.0 : 0.02);
         }
         return;
+    case 9:
+        return world.toggle_other_account();
     default:
         return world.run(it[1] / 32.0);
     }
--- a/Tests/LibRate/lease_world.cpp
+++ b/Tests/LibRate/lease_world.cpp
@@ -10,6 +10,7 @@
 
 constexpr double step_seconds = 0.1;
 constexpr const char* account = "acme";
+constexpr const char* other_account = "abel";
 
 // A burst of half a second: an accrual above the rate exceeds it at once.
 constexpr double base_rate = 1000;
@@ -217,6 +218,7 @@
         {
             continue;
         }
+        vms_[n].holder->reserve(other_account, base_rate, local(n));
         const double credit = vms_[n].holder->credit(account, local(n));
         const double tokens = random_.uniform() < 0.1 ? credit + 500 : credit;
         const auto result = vms_[n].holder->reserve(account, tokens, local(n));
@@ -312,6 +314,19 @@
     }
 }
 
+void lease_world::toggle_other_account()
+{
+    if (next_leader_ < 0 && all_confirmed())
+    {
+        auto next = versions_.back();
+        if (next.accounts.erase(other_account) == 0)
+        {
+            next.accounts[other_account] = {base_rate, base_burst, 0.4};
+        }
+        publish(next);
+    }
+}
+
 bool lease_world::set_floor_fraction(double fraction)
 {
     auto next = versions_.back();
--- a/Tests/LibRate/lease_world.hpp
+++ b/Tests/LibRate/lease_world.hpp
@@ -44,6 +44,9 @@
     /// The leader loses contact; another control VM is elected.
     void change_leader();
     void set_rate(double factor);
+    /// Declares or removes an account that comes before the measured one, so
+    /// that account numbers change.
+    void toggle_other_account();
     /// False if the operators' rules forbid it now.
     bool set_floor_fraction(double fraction);
 
