--- a/Libraries/LibRate/lease_holder.hpp
+++ b/Libraries/LibRate/lease_holder.hpp
@@ -16,6 +16,8 @@
 #include <map>
 #include <mutex>
 #include <optional>
+#include <set>
+#include <vector>
 
 namespace hyssoploft::rate {
 
@@ -29,6 +31,11 @@
     bool return_credit = true;
     /// Asks before the renewal is due, once, after a refusal without a lease.
     bool ask_early = true;
+    /// Names only accounts whose demand changed, when the grant before was
+    /// applied in time.
+    bool name_changes = true;
+    /// Uses numbers for accounts once a grantor has shown the same table.
+    bool use_numbers = true;
 };
 
 class lease_holder final : public rate_limiter
@@ -76,27 +83,36 @@
         explicit account_state(core::time_point now) : bucket(now) {}
 
         account_rate declared;
-        double floor = 0; // In force; at most next_floor.
+        std::uint32_t number = 0; // In table_.
+        double floor = 0;         // In force; at most next_floor.
         double next_floor = 0;
         core::time_point floor_grows_at{};
-        double leased = 0; // Flexible share; 0 once lease_end has passed.
-        core::time_point lease_end{};
+        double granted = 0; // Flexible share of the grant in force.
+        double leased = 0;  // The same; 0 once lease_end_ has passed.
         token_bucket bucket;
         double asked = 0;   // Tokens asked for since the last request.
         double demand = 0;  // Tokens per second, smoothed.
         double dropped = 0; // Tokens to return with the next request.
+        double told = 0;    // Demand last named in a request.
     };
 
     struct sent_request
     {
         std::uint64_t sequence = 0;
         core::time_point sent{};
+        std::uint64_t table = 0; // 0: accounts went by name.
     };
 
     void advance(account_state& it, core::time_point now) const;
     double configure(account_state& it) const;
     void update_demand(account_state& it, double seconds) const;
     lease_request start_request(core::time_point now);
+    void name_account(
+        const std::string& name, account_state& it, lease_request& request);
+    void limit_size(lease_request& request);
+    void set_granted(account_state& it, double share) const;
+    account_state* find(const lease_share& it, bool numbered);
+    void end_unnamed(const std::set<const account_state*>& named);
     double read(
         const std::string& account, core::time_point now,
         double (*value)(const account_state&));
@@ -105,10 +121,16 @@
     mutable std::mutex mutex_; // Guards everything below.
     declared_rates rates_;
     std::map<std::string, account_state> accounts_;
+    std::vector<account_state*> table_; // Accounts by number.
+    std::uint64_t table_id_ = 0;
+    std::uint64_t grantor_table_ = 0;    // As of the last grant by name.
     std::array<sent_request, 8> sent_{}; // By sequence modulo its size.
     std::uint64_t sequence_ = 0;
     std::uint64_t applied_ = 0; // Never decreases.
     std::uint64_t term_ = 0;
+    core::time_point lease_end_{}; // Of all shares of the grant in force.
+    bool must_name_all_ = true;    // In the next request.
+    int since_full_ = 0;           // Requests.
     std::optional<core::time_point> last_request_;
     bool refused_without_lease_ = false; // Since the last request.
     bool last_was_early_ = false;
