--- a/Tests/StandIns/announcer.hpp
+++ b/Tests/StandIns/announcer.hpp
@@ -5,11 +5,14 @@
 // that it leaves, as the upstreams' API says.
 
 #include <LibHttp/traffic_thread.hpp>
+#include <StandIns/batch.hpp>
 
 #include <boost/json.hpp>
 
 #include <atomic>
+#include <chrono>
 #include <cstdint>
+#include <deque>
 #include <memory>
 #include <string>
 #include <vector>
@@ -35,15 +38,41 @@
         return incarnation_;
     }
 
-    void set_running(std::uint32_t calls)
+    void set_load(std::uint32_t running, std::uint32_t queued)
     {
-        running_ = calls;
+        running_ = running;
+        queued_ = queued;
     }
 
+    /// Load is reported this long after it was measured. Call before start().
+    void set_lag(std::chrono::milliseconds lag)
+    {
+        lag_ = lag;
+    }
+
+    /// Publishes the cache changes of `steps` to each of `vms`, each event
+    /// 0.5 to 3.5 s late; one in six is lost.
+    void
+    publish_cache(std::shared_ptr<batch> steps, std::vector<std::string> vms);
+
 private:
     http::asio::awaitable<void> run();
     http::asio::awaitable<bool>
     post(std::string path, boost::json::object body);
+    http::asio::awaitable<bool>
+    post_to(std::string vm, std::string path, boost::json::object body);
+    boost::json::object lagged_load();
+    http::asio::awaitable<void>
+    run_cache(std::shared_ptr<batch> steps, std::vector<std::string> vms);
+    http::asio::awaitable<void> deliver(
+        std::chrono::milliseconds late, std::vector<std::string> vms,
+        boost::json::object body);
+
+    struct load_sample
+    {
+        std::chrono::steady_clock::time_point time;
+        std::uint32_t running, queued;
+    };
 
     std::shared_ptr<http::traffic_thread> thread_;
     boost::json::object record_;
@@ -52,6 +81,9 @@
     std::uint64_t incarnation_;
     std::uint64_t sequence_ = 0;
     std::atomic<std::uint32_t> running_{0};
+    std::atomic<std::uint32_t> queued_{0};
+    std::chrono::milliseconds lag_{0};
+    std::deque<load_sample> samples_; // Of the last lag_, oldest first.
     std::atomic<bool> leaving_{false};
 };
 
--- a/Tests/StandIns/model_engine.cpp
+++ b/Tests/StandIns/model_engine.cpp
@@ -4,7 +4,9 @@
 
 #include <LibHttp/http_server.hpp>
 #include <StandIns/announcer.hpp>
+#include <StandIns/batch.hpp>
 
+#include <LibGateway/chat_request.hpp>
 #include <LibHttp/sse_parser.hpp>
 
 #include <absl/flags/flag.h>
@@ -38,6 +40,18 @@
     std::string, fault, "",
     "mismatched_id, no_end_marker, http_500, overloaded or empty.");
 
+ABSL_FLAG(
+    bool, batching, false,
+    "Steps of a continuous batch and a prefix cache instead of the times "
+    "above; the answer has max_tokens tokens.");
+ABSL_FLAG(double, slowness, 1, "Multiplies the length of each step.");
+ABSL_FLAG(std::uint32_t, max_queue, 48, "Waiting calls; then 503.");
+ABSL_FLAG(std::uint32_t, cache_blocks, 1500, "Blocks of the prefix cache.");
+ABSL_FLAG(std::uint32_t, load_lag_ms, 0, "Age of load when it is reported.");
+ABSL_FLAG(
+    std::vector<std::string>, event_vms, {},
+    "VMs that get cache events; they come late and one in six is lost.");
+
 namespace {
 
 using namespace hyssoploft;
@@ -79,6 +93,7 @@
 {
 public:
     std::shared_ptr<tests::announcer> news;
+    std::shared_ptr<tests::batch> steps; // Null without --batching.
 
     asio::awaitable<void> handle(http::exchange& it) override
     {
@@ -102,6 +117,8 @@
         return json::serialize(json::object{
             {"calls", calls_},
             {"leaked_key", leaked_},
+            {"refused", refused_},
+            {"prefilled", steps ? steps->prefilled() : 0},
             {"incarnation", news ? news->incarnation() : 0}});
     }
 
@@ -115,7 +132,8 @@
     {
         if (news)
         {
-            news->set_running(running);
+            const auto queued = steps ? steps->queued() : 0;
+            news->set_load(running - std::min(running, queued), queued);
         }
     }
 
@@ -124,12 +142,15 @@
         const auto fault = absl::GetFlag(FLAGS_fault);
         if (fault == "http_500" || fault == "overloaded")
         {
-            http::response refused(
-                fault == "http_500" ? http::bhttp::status::internal_server_error
-                                    : http::bhttp::status::service_unavailable,
-                11);
-            refused.set("x-request-id", request_id(it));
-            (void)co_await it.respond(std::move(refused));
+            co_await refuse(
+                it, fault == "http_500"
+                        ? http::bhttp::status::internal_server_error
+                        : http::bhttp::status::service_unavailable);
+            co_return;
+        }
+        if (steps)
+        {
+            co_await answer_in_steps(it);
             co_return;
         }
         const chat wanted = parse_chat(it.message().body());
@@ -142,6 +163,85 @@
         co_await whole(it, wanted);
     }
 
+    static asio::awaitable<void>
+    refuse(http::exchange& it, http::bhttp::status status)
+    {
+        http::response refused(status, 11);
+        refused.set("x-request-id", request_id(it));
+        (void)co_await it.respond(std::move(refused));
+    }
+
+    asio::awaitable<void> answer_in_steps(http::exchange& it)
+    {
+        const auto request = gateway::chat_request::create(it.message().body());
+        if (!request.ok())
+        {
+            co_await refuse(it, http::bhttp::status::bad_request);
+            co_return;
+        }
+        const auto work = std::make_shared<tests::sequence>(it.executor());
+        // NOTE: the hashes equal those of the gateway, as if the engine
+        // published the identifiers that the gateway computes.
+        work->prefix_hashes = request->prefix_hashes();
+        work->prompt_tokens = request->prompt_tokens();
+        work->answer_tokens = request->answer_limit();
+        const auto body = json::parse(it.message().body());
+        const auto* priority = body.as_object().if_contains("priority");
+        work->batch_class = priority && priority->to_number<int>() > 0;
+        if (!steps->add(work))
+        {
+            ++refused_;
+            co_await refuse(it, http::bhttp::status::service_unavailable);
+            co_return;
+        }
+        it.on_caller_gone([work] {
+            work->cancelled = true;
+            work->progress.cancel();
+        });
+        const auto first = parse_chat(it.message().body()).first;
+        co_await send_steps(it, *work, request->stream(), first);
+        it.on_caller_gone(nullptr);
+        work->cancelled = true;
+    }
+
+    static asio::awaitable<void> send_steps(
+        http::exchange& it, tests::sequence& work, bool stream,
+        std::uint32_t first)
+    {
+        std::uint32_t sent = 0;
+        while (sent < work.answer_tokens && !work.cancelled)
+        {
+            const auto wanted = stream ? sent + 1 : work.answer_tokens;
+            if (work.generated < wanted)
+            {
+                work.progress.expires_after(std::chrono::seconds(60));
+                http::error_code ec;
+                co_await work.progress.async_wait(
+                    asio::redirect_error(asio::use_awaitable, ec));
+                continue;
+            }
+            if (!stream)
+            {
+                co_await send_whole(it, first, first + work.answer_tokens);
+                co_return;
+            }
+            if (sent == 0)
+            {
+                co_await send_head(it);
+            }
+            const auto status = co_await it.write(chunk(first + sent++));
+            if (!status.ok())
+            {
+                co_return;
+            }
+        }
+        if (!work.cancelled)
+        {
+            (void)co_await it.write(http::to_sse("[DONE]"));
+            (void)co_await it.end_stream();
+        }
+    }
+
     static std::string request_id(http::exchange& it)
     {
         if (absl::GetFlag(FLAGS_fault) == "mismatched_id")
@@ -163,13 +263,19 @@
 
     asio::awaitable<void> whole(http::exchange& it, const chat& wanted)
     {
-        std::string text;
         const auto end = end_of(wanted);
-        for (std::uint32_t n = wanted.first; n < end; ++n)
+        co_await wait_ms(it, token_ms() * (end - wanted.first));
+        co_await send_whole(it, wanted.first, end);
+    }
+
+    static asio::awaitable<void>
+    send_whole(http::exchange& it, std::uint32_t first, std::uint32_t end)
+    {
+        std::string text;
+        for (std::uint32_t n = first; n < end; ++n)
         {
             text += token_text(n);
         }
-        co_await wait_ms(it, token_ms() * (end - wanted.first));
         http::response answer(http::bhttp::status::ok, 11);
         answer.set("x-request-id", request_id(it));
         answer.set("content-type", "application/json");
@@ -181,7 +287,8 @@
         answer.body() = json::serialize(json::object{
             {"object", "chat.completion"},
             {"choices", json::array{std::move(choice)}},
-            {"usage", {{"completion_tokens", end - wanted.first}}}});
+            {"system_fingerprint", absl::GetFlag(FLAGS_region)},
+            {"usage", {{"completion_tokens", end - first}}}});
         (void)co_await it.respond(std::move(answer));
     }
 
@@ -192,16 +299,22 @@
         json::object choice{{"index", 0}, {"delta", std::move(delta)}};
         return http::to_sse(json::serialize(json::object{
             {"object", "chat.completion.chunk"},
+            {"system_fingerprint", absl::GetFlag(FLAGS_region)},
             {"choices", json::array{std::move(choice)}}}));
     }
 
-    asio::awaitable<void> stream(http::exchange& it, const chat& wanted)
+    static asio::awaitable<void> send_head(http::exchange& it)
     {
         http::bhttp::response<http::bhttp::empty_body> head(
             http::bhttp::status::ok, 11);
         head.set("x-request-id", request_id(it));
         head.set("content-type", "text/event-stream");
         (void)co_await it.begin_stream(std::move(head));
+    }
+
+    asio::awaitable<void> stream(http::exchange& it, const chat& wanted)
+    {
+        co_await send_head(it);
         const auto end = end_of(wanted);
         const auto break_after = absl::GetFlag(FLAGS_break_after);
         std::int32_t sent = 0;
@@ -252,9 +365,23 @@
     // One traffic thread: no locks are needed.
     std::uint32_t running_ = 0;
     std::uint64_t calls_ = 0;
+    std::uint64_t refused_ = 0; // For load.
     bool leaked_ = false;
 };
 
+std::shared_ptr<tests::batch> make_steps(asio::io_context& context)
+{
+    const double slowness = absl::GetFlag(FLAGS_slowness);
+    tests::batch_settings it;
+    it.step_ms *= slowness;
+    it.sequence_ms *= slowness;
+    it.prompt_token_ms *= slowness;
+    it.capacity = absl::GetFlag(FLAGS_capacity);
+    it.max_queue = absl::GetFlag(FLAGS_max_queue);
+    it.cache_blocks = absl::GetFlag(FLAGS_cache_blocks);
+    return std::make_shared<tests::batch>(context, it);
+}
+
 } // namespace
 
 int main(int argc, char** argv)
@@ -286,11 +413,22 @@
          {{"resume", absl::GetFlag(FLAGS_resume)},
           {"cancel", true},
           {"priorities", true}}}};
+    if (absl::GetFlag(FLAGS_batching))
+    {
+        handler->steps = make_steps(thread->context());
+    }
     if (!absl::GetFlag(FLAGS_vms).empty())
     {
         handler->news = std::make_shared<tests::announcer>(
             thread, std::move(record), absl::GetFlag(FLAGS_vms));
+        handler->news->set_lag(
+            std::chrono::milliseconds(absl::GetFlag(FLAGS_load_lag_ms)));
         handler->news->start();
+        if (handler->steps && !absl::GetFlag(FLAGS_event_vms).empty())
+        {
+            handler->news->publish_cache(
+                handler->steps, absl::GetFlag(FLAGS_event_vms));
+        }
     }
     (*server)->start();
     tests::wait_for_signal();
