LibControl: Write accepted batches to the log as an audit trail

Change: each control VM logs audit entries as the log applies them; the daemon sets its umask to 077; the identifier is checked only with a second key.

--- a/Libraries/LibControl/control_plane.cpp
+++ b/Libraries/LibControl/control_plane.cpp
@@ -6,6 +6,7 @@
 #include <LibCore/log_line.hpp>
 #include <LibWire/asio_transport.hpp>
 
+#include <absl/strings/str_join.h>
 #include <boost/asio/post.hpp>
 #include <glog/logging.h>
 
@@ -152,6 +153,7 @@
             return replica.status();
         }
         replica_ = *std::move(replica);
+        audited_sequence_ = replica_->state().resources().audit_sequence();
     }
     proposals_ = std::make_unique<proposal_client>(
         *transport_, *this, replica_.get(), *clock_);
@@ -451,9 +453,29 @@
 
 void control_plane::resources_changed()
 {
+    write_audit();
     feed_->on_store(replica_->state().resources());
 }
 
+void control_plane::write_audit()
+{
+    const auto& store = replica_->state().resources();
+    for (const auto& it : store.audit_since(audited_sequence_))
+    {
+        LOG(INFO) << core::log_line("audit")
+                         .with("sequence", it.sequence)
+                         .with("author", it.author)
+                         .with("request", it.request_id)
+                         .with("unix_ms", it.unix_milliseconds)
+                         .with(
+                             "outcome",
+                             std::string(core::name_of(
+                                 resource::apply_outcome_names, it.outcome)))
+                         .with("what", absl::StrJoin(it.what, ", "));
+    }
+    audited_sequence_ = store.audit_sequence();
+}
+
 void control_plane::role_changed(bool leader, std::uint64_t term)
 {
     leads_ = leader;
--- a/Libraries/LibControl/control_plane.hpp
+++ b/Libraries/LibControl/control_plane.hpp
@@ -167,6 +167,7 @@
     void on_membership(const wire::incoming_message& it);
     void on_propose(const wire::incoming_message& it);
     void flush_membership();
+    void write_audit();
     void send_hello();
     void commit_withdrawals();
     void configuration_installed();
@@ -196,6 +197,7 @@
     std::unique_ptr<ledger_service> ledger_;
     std::vector<waiting_watch> watches_; // At most max_watches.
     core::time_point next_second_{};
+    std::uint64_t audited_sequence_ = 0; // Last audit entry that was logged.
     bool committing_withdrawals_ = false;
 
     mutable std::mutex published_mutex_; // Guards the three pointers.
--- a/Services/hyssoploft/main.cpp
+++ b/Services/hyssoploft/main.cpp
@@ -6,6 +6,7 @@
 #include <absl/flags/parse.h>
 #include <absl/flags/usage.h>
 #include <glog/logging.h>
+#include <sys/stat.h>
 
 #include <iostream>
 
@@ -15,6 +16,8 @@
     absl::SetProgramUsageMessage(
         "The process of one hyssoploft VM. Every flag can also be set by an "
         "environment variable, such as HYSSOPLOFT_REGION for --region.");
+    // The data directory and the trace file are for this user only.
+    ::umask(077);
     const auto environment = service::read_environment();
     absl::ParseCommandLine(argc, argv);
     // glog has flags of its own that Abseil does not know.
--- a/Services/hyssoploft/settings.cpp
+++ b/Services/hyssoploft/settings.cpp
@@ -225,7 +225,7 @@
     const auto other_id = check.range(
         "other_fleet_key_id", absl::GetFlag(FLAGS_other_fleet_key_id),
         max_key_id);
-    if (id == other_id)
+    if (!out.other_fleet_key.empty() && id == other_id)
     {
         check.add("other_fleet_key_id", "is the number of the fleet key");
     }
