LibRouting: Count a cached prefix once more inside a region

Cause: the choice counts the prefill that a cached prefix saves the call itself, but not the time that it saves the calls behind it. A shorter queue elsewhere then outweighs the cache and the prefix is computed again.

Change: inside one region, half of the saved time counts once more.

--- a/Libraries/LibRouting/expected_time_router.cpp
+++ b/Libraries/LibRouting/expected_time_router.cpp
@@ -18,13 +18,14 @@
     return request.prefix_hashes.empty() ? 0 : request.prefix_hashes.back();
 }
 
-route_option* best_of(std::vector<route_option>& options, bool local)
+route_option* best_of(
+    std::vector<route_option>& options, bool local,
+    double (*value)(const route_option&))
 {
     route_option* best = nullptr;
     for (route_option& it : options)
     {
-        if (it.local == local &&
-            (best == nullptr || it.seconds < best->seconds))
+        if (it.local == local && (best == nullptr || value(it) < value(*best)))
         {
             best = &it;
         }
@@ -32,6 +33,16 @@
     return best;
 }
 
+double seconds_of(const route_option& it)
+{
+    return it.seconds;
+}
+
+double score_of(const route_option& it)
+{
+    return it.score();
+}
+
 } // namespace
 
 expected_time_router::expected_time_router(
@@ -188,12 +199,13 @@
     const bool only = options.size() == 1;
     apply_affinity(options, request, now);
     hold_ramping(options, now);
-    const route_option* local = best_of(options, true);
-    const route_option* remote = best_of(options, false);
+    const route_option* local = best_of(options, true, seconds_of);
+    const route_option* remote = best_of(options, false, seconds_of);
     const bool gain = remote != nullptr &&
                       (local == nullptr || local->seconds - remote->seconds >
                                                request.remote_price_seconds);
-    const route_option& it = *spread(options, gain ? *remote : *local);
+    const route_option& it =
+        *spread(options, *best_of(options, !gain, score_of));
     routing_reason reason = routing_reason::shortest_expected_time;
     if (last_resort)
     {
@@ -306,6 +318,8 @@
             times_.estimate(
                 *it, request.prompt_tokens, cached * m.belief, data_center_,
                 now);
+            it->cache_bonus = settings_.cache_bonus_share *
+                              std::max(0.0, it->without_cache - it->seconds);
         }
     }
 }
@@ -350,7 +364,7 @@
     std::vector<route_option*> near;
     for (route_option& it : options)
     {
-        if (it.local == best.local && it.seconds <= best.seconds + slack)
+        if (it.local == best.local && it.score() <= best.score() + slack)
         {
             near.push_back(&it);
         }
@@ -362,7 +376,7 @@
     const std::size_t a = random_.below(near.size());
     const std::size_t b =
         (a + 1 + random_.below(near.size() - 1)) % near.size();
-    return near[a]->seconds <= near[b]->seconds ? near[a] : near[b];
+    return near[a]->score() <= near[b]->score() ? near[a] : near[b];
 }
 
 routing_result expected_time_router::commit(
--- a/Libraries/LibRouting/expected_time_router.hpp
+++ b/Libraries/LibRouting/expected_time_router.hpp
@@ -39,6 +39,10 @@
     /// Cached prefixes count only at upstreams whose load is at most this
     /// multiple of the mean of the candidates, plus one call.
     double affinity_load_bound = 1.25;
+    /// Part of the time saved by a cached prefix that counts once more when
+    /// upstreams of one region are compared. It never counts for a choice
+    /// between regions: it would draw calls to other regions' caches.
+    double cache_bonus_share = 0.5;
     /// No new call after the upstream refused one for load.
     core::duration rejected_pause = std::chrono::milliseconds(500);
     double request_bytes_per_token = 5;
--- a/Libraries/LibRouting/upstream_slot.hpp
+++ b/Libraries/LibRouting/upstream_slot.hpp
@@ -49,7 +49,16 @@
     double uncached_tokens = 0;
     double seconds = 0;       ///< Expected time to first token.
     double without_cache = 0; ///< The same without cached prefixes.
+    /// Counts for the cache when upstreams of one region are compared: the
+    /// prefill that is saved also shortens the wait of later calls.
+    double cache_bonus = 0;
     bool local = false;
+
+    /// Lower is better, among the options of one region.
+    double score() const
+    {
+        return seconds - cache_bonus;
+    }
 };
 
 } // namespace hyssoploft::routing
--- a/Tests/Load/caller.cpp
+++ b/Tests/Load/caller.cpp
@@ -41,9 +41,9 @@
 {
     boost::system::error_code ec;
     const auto parsed = json::parse(data, ec);
-    const auto* error =
-        ec || !parsed.is_object() ? nullptr
-                                  : parsed.get_object().if_contains("error");
+    const auto* error = ec || !parsed.is_object()
+                            ? nullptr
+                            : parsed.get_object().if_contains("error");
     const auto* object = error ? error->if_object() : nullptr;
     const auto* reason = object ? object->if_contains("reason") : nullptr;
     return reason && reason->is_string() ? reason->get_string().c_str()
