LibRouting: Test that a cached prefix counts once between regions

Cause: the bonus for cached prefixes must not draw calls to other regions.

Change: a test with a prefix cached in another region and prices on both sides of its gain.

--- a/Tests/LibRouting/expected_time_router.cpp
+++ b/Tests/LibRouting/expected_time_router.cpp
@@ -87,6 +87,28 @@
     CHECK_EQ(it.must_choose(request).region, "a");
 }
 
+// Guards against calls that the bonus for a cached prefix, which counts inside
+// a region only, draws to another region.
+TEST_CASE("a cached prefix in another region counts once")
+{
+    bench it;
+    it.fleet.vms("a", 1).vms("b", 1).upstreams("a", 1).upstreams("b", 1);
+    it.fleet.link("a", "b", 1e9);
+    it.install();
+    routing_request request = with_prefix(300);
+    it.router.cache_event("up-b-0", 1, request.prefix_hashes, {}, it.now);
+    const expected_time_settings settings;
+    const double saved =
+        request.prompt_tokens * settings.costs.prior.seconds_per_prompt_token;
+    const double gain = saved - settings.costs.other_region_seconds;
+    request.remote_price_seconds =
+        gain + settings.cache_bonus_share * saved / 2;
+    CHECK_EQ(it.must_choose(request).region, "a");
+    it.router.cache_event("up-b-0", 2, request.prefix_hashes, {}, it.now);
+    request.remote_price_seconds = gain / 2;
+    CHECK_EQ(it.must_choose(request).reason, routing_reason::remote_gain);
+}
+
 TEST_CASE("calls to another region stay within the link's budget")
 {
     bench it;
