--- a/Libraries/LibControl/control_state_machine.cpp
+++ b/Libraries/LibControl/control_state_machine.cpp
@@ -19,20 +19,53 @@
 // all replacements after some months.
 constexpr std::size_t max_replica_entries = 64;
 
-struct snapshot_body
+// Snapshots of earlier builds end before the order.
+struct unordered_snapshot
 {
     std::string resources;
     std::string ledger;
     std::map<std::uint64_t, std::string> replicas;
+
+    template <typename Archive>
+    void serialize(Archive& archive)
+    {
+        archive(resources, ledger, replicas);
+    }
+};
+
+struct snapshot_body
+{
+    unordered_snapshot unordered;
     std::vector<std::uint64_t> replica_order;
 
     template <typename Archive>
     void serialize(Archive& archive)
     {
-        archive(resources, ledger, replicas, replica_order);
+        archive(unordered, replica_order);
     }
 };
 
+absl::StatusOr<snapshot_body> decode_snapshot(std::string_view bytes)
+{
+    auto body = wire::decode<snapshot_body>(bytes);
+    if (body.ok())
+    {
+        return body;
+    }
+    auto older = wire::decode<unordered_snapshot>(bytes);
+    if (!older.ok())
+    {
+        return body.status();
+    }
+    snapshot_body out;
+    for (const auto& [id, vm] : older->replicas)
+    {
+        out.replica_order.push_back(id);
+    }
+    out.unordered = *std::move(older);
+    return out;
+}
+
 } // namespace
 
 std::string
@@ -115,32 +148,33 @@
     {
         return absl::OkStatus();
     }
-    auto body = wire::decode<snapshot_body>(bytes);
+    auto body = decode_snapshot(bytes);
     if (!body.ok())
     {
         return body.status();
     }
     const bool same_replicas =
-        body->replicas.size() == body->replica_order.size() &&
+        body->unordered.replicas.size() == body->replica_order.size() &&
         std::all_of(
             body->replica_order.begin(), body->replica_order.end(),
             [&](auto id) {
-                return body->replicas.contains(id);
+                return body->unordered.replicas.contains(id);
             });
     if (!same_replicas)
     {
         return absl::InvalidArgumentError(
             "the replicas of the snapshot and their order differ");
     }
-    if (auto status = resources_.restore(body->resources); !status.ok())
+    if (auto status = resources_.restore(body->unordered.resources);
+        !status.ok())
     {
         return status;
     }
-    if (auto status = ledger_.restore(body->ledger); !status.ok())
+    if (auto status = ledger_.restore(body->unordered.ledger); !status.ok())
     {
         return status;
     }
-    replicas_ = std::move(body->replicas);
+    replicas_ = std::move(body->unordered.replicas);
     replica_order_ = std::move(body->replica_order);
     return absl::OkStatus();
 }
--- a/Tests/LibControl/control_state_machine.cpp
+++ b/Tests/LibControl/control_state_machine.cpp
@@ -35,6 +35,19 @@
             make_batch("set-" + name, {set(make_account(name))})));
 }
 
+struct earlier_snapshot
+{
+    std::string resources;
+    std::string ledger;
+    std::map<std::uint64_t, std::string> replicas;
+
+    template <typename Archive>
+    void serialize(Archive& archive)
+    {
+        archive(resources, ledger, replicas);
+    }
+};
+
 std::string begin(const std::string& key)
 {
     ledger::begin_request it;
@@ -171,6 +184,25 @@
     CHECK(restored.take_snapshot() == machine.take_snapshot());
 }
 
+// An upgraded control VM has to start from its data directory.
+TEST_CASE("the snapshot of an earlier build, without the order, is read")
+{
+    control_state_machine from;
+    from.apply(1, account("shop"));
+    from.apply(2, replica(7, "v1"));
+    from.apply(3, replica(3, "v2"));
+    const auto older = wire::encode(earlier_snapshot{
+        from.resources().snapshot(), from.records().snapshot(),
+        from.replicas()});
+    control_state_machine to;
+    REQUIRE(to.install_snapshot(older).ok());
+    CHECK(to.resources().version() == 1);
+    CHECK(to.replicas() == from.replicas());
+    to.apply(4, replica(9, "v1"));
+    CHECK(to.replicas().size() == 3);
+    CHECK_FALSE(to.install_snapshot(older + "x").ok());
+}
+
 TEST_CASE("a recorded replica can move to another VM")
 {
     control_state_machine machine;
