LibResource: Refuse fleet changes that break the rate invariant

Cause: fleet and rate changes listed in decision 0005 let floors exceed the rate while VMs lag. Change: findings for lower floor_slots, a deleted fleet, more VMs than slots were free before the change, and a larger floor_fraction together with new VMs. Tests: two declarations used 2 slots beside a fleet of 8, which is now a finding of its own; they use 8. Deleting the fleet has one finding more. Conclusion: cases that depend on which version a VM has stay with the operators.

--- a/Libraries/LibRate/lease_grantor.cpp
+++ b/Libraries/LibRate/lease_grantor.cpp
@@ -70,7 +70,8 @@
     for (const auto& [name, it] : rates_.accounts)
     {
         const auto pos = rates.accounts.find(name);
-        if (pos != rates.accounts.end() &&
+        // A removed account may be declared again with a smaller floor.
+        if (pos == rates.accounts.end() ||
             pos->second.floor_fraction < it.floor_fraction)
         {
             older.floor_fractions.emplace(name, it.floor_fraction);
--- a/Libraries/LibRate/lease_holder.cpp
+++ b/Libraries/LibRate/lease_holder.cpp
@@ -74,6 +74,22 @@
         share * it.declared.burst_tokens);
 }
 
+void lease_holder::remove_accounts(
+    const declared_rates& rates, core::time_point now)
+{
+    std::erase_if(removed_, [&](const auto& it) {
+        return now >= it.second.at + floor_growth_wait;
+    });
+    std::erase_if(accounts_, [&](const auto& it) {
+        if (rates.accounts.contains(it.first))
+        {
+            return false;
+        }
+        removed_[it.first] = {it.second.floor, now};
+        return true;
+    });
+}
+
 void lease_holder::install(const declared_rates& rates, core::time_point now)
 {
     const std::lock_guard lock(mutex_);
@@ -84,9 +100,7 @@
     rates_ = rates;
     // What a removed account held must be granted anew.
     must_name_all_ = true;
-    std::erase_if(accounts_, [&](const auto& it) {
-        return !rates.accounts.contains(it.first);
-    });
+    remove_accounts(rates, now);
     table_.clear();
     table_id_ = rates.account_table();
     for (const auto& [name, declared] : rates.accounts)
@@ -100,9 +114,14 @@
         it.declared = declared;
         if (is_new)
         {
-            it.floor = floor;
+            // Leases of the former declaration can be in force elsewhere, so
+            // a larger floor waits as in a change of one declaration.
+            const auto removed = removed_.find(name);
+            it.floor =
+                removed == removed_.end() ? floor : removed->second.floor;
+            it.next_floor = it.floor;
         }
-        else if (floor > it.floor && floor != it.next_floor)
+        if (floor > it.floor && floor != it.next_floor)
         {
             it.floor_grows_at = now + floor_growth_wait;
         }
--- a/Libraries/LibRate/lease_holder.hpp
+++ b/Libraries/LibRate/lease_holder.hpp
@@ -96,6 +96,12 @@
         double told = 0;    // Demand last named in a request.
     };
 
+    struct removed_account
+    {
+        double floor;
+        core::time_point at;
+    };
+
     struct sent_request
     {
         std::uint64_t sequence = 0;
@@ -103,6 +109,7 @@
         std::uint64_t table = 0; // 0: accounts went by name.
     };
 
+    void remove_accounts(const declared_rates& rates, core::time_point now);
     void advance(account_state& it, core::time_point now) const;
     double configure(account_state& it) const;
     void update_demand(account_state& it, double seconds) const;
@@ -121,6 +128,8 @@
     mutable std::mutex mutex_; // Guards everything below.
     declared_rates rates_;
     std::map<std::string, account_state> accounts_;
+    // Accounts removed less than floor_growth_wait ago.
+    std::map<std::string, removed_account> removed_;
     std::vector<account_state*> table_; // Accounts by number.
     std::uint64_t table_id_ = 0;
     std::uint64_t grantor_table_ = 0;    // As of the last grant by name.
--- a/Libraries/LibResource/reference_rules.cpp
+++ b/Libraries/LibResource/reference_rules.cpp
@@ -211,12 +211,74 @@
         }
     }
 
+    /// VMs that lag use the floors of the fleet before the change. Floors
+    /// stay within the rate only if the VMs before and after it fit together
+    /// into the slots before it, and no slot becomes larger.
+    void check_fleet_change()
+    {
+        const resource_id id{resource_kind::fleet, fleet_name};
+        const fleet& before = after_.base().declared_fleet;
+        const fleet& now = after_.declared_fleet();
+        if (before.floor_slots == 0 || now.vms.size() > now.floor_slots)
+        {
+            return; // The first fleet, or a finding on its value.
+        }
+        if (now.floor_slots < before.floor_slots)
+        {
+            add(id, "floor_slots",
+                core::concat(
+                    "can't fall below ", before.floor_slots,
+                    ": VMs that lag or were removed may still use the others"));
+        }
+        const std::size_t added = added_vms(before, now);
+        const std::size_t free = before.floor_slots - before.vms.size();
+        if (added > free)
+        {
+            add(id, "vms",
+                core::concat(
+                    added, " VMs are added, but ", free,
+                    " slots are free before this change; first remove VMs or "
+                    "raise floor_slots in a change of its own"));
+        }
+        check_floors_of_added(added);
+    }
+
+    /// A VM that is added starts with the floors in force, while the others
+    /// still hold leases of the part that the larger floors take away.
+    void check_floors_of_added(std::size_t added)
+    {
+        after_.each(
+            resource_kind::rate, after_.base().rates, [&](const rate& it) {
+                const auto old = after_.base().rates.find(it.account);
+                if (added > 0 && old != after_.base().rates.end() &&
+                    it.floor_fraction > old->second.floor_fraction)
+                {
+                    add(id_of(it), "floor_fraction",
+                        "can't grow in a change that adds VMs");
+                }
+            });
+    }
+
     std::vector<problem> take()
     {
         return std::move(found_);
     }
 
 private:
+    static std::size_t added_vms(const fleet& before, const fleet& now)
+    {
+        std::set<std::string> ids;
+        for (const auto& it : now.vms)
+        {
+            ids.insert(it.id);
+        }
+        for (const auto& it : before.vms)
+        {
+            ids.erase(it.id);
+        }
+        return ids.size();
+    }
+
     template <typename T>
     static resource_id id_of(const T& it)
     {
@@ -265,8 +327,10 @@
     const overlay after(base, changes);
     reference_checker checker(after);
     bool routes = false;
+    bool fleet_changes = false;
     for (const auto& it : changes)
     {
+        fleet_changes = fleet_changes || it.id.kind == resource_kind::fleet;
         if (!it.value)
         {
             continue;
@@ -292,6 +356,10 @@
                 *it.value);
         }
     }
+    if (fleet_changes)
+    {
+        checker.check_fleet_change();
+    }
     if (routes)
     {
         checker.check_route_matches();
--- a/Tests/LibRate/lease_faults.cpp
+++ b/Tests/LibRate/lease_faults.cpp
@@ -373,6 +373,28 @@
     CHECK_EQ(w.b.share(account, w.now), doctest::Approx(0.1));
 }
 
+TEST_CASE("an account declared again gets a larger floor after a wait")
+{
+    pair_of_holders w;
+    auto next = rates_of(100, 0.8);
+    next.version = 2;
+    std::swap(next.accounts["other"], next.accounts[account]);
+    next.accounts.erase(account);
+    w.a.install(next, w.now);
+    w.grantor.install(next, w.now);
+    next = rates_of(100, 0.8);
+    next.version = 3;
+    w.a.install(next, w.now + 1s);
+    const auto before = w.now + rate::floor_growth_wait;
+    CHECK_EQ(w.a.floor_share(account, before), doctest::Approx(0.1));
+    CHECK_EQ(w.a.floor_share(account, before + 1s), doctest::Approx(0.2));
+    // VMs that lag have the floors of version 1.
+    next = rates_of(100, 0.1);
+    next.version = 4;
+    w.grantor.install(next, w.now);
+    CHECK_LE(w.grantor.flexible(account), doctest::Approx(0.6));
+}
+
 TEST_CASE("VMs without a leader get their floors and no more")
 {
     tests::lease_world world({.seed = 5});
--- a/Tests/LibResource/declaration_file.cpp
+++ b/Tests/LibResource/declaration_file.cpp
@@ -65,12 +65,12 @@
      "  - {id: s1, region: south, data_center: s}\n",
      "f:3: fleet/fleet.vms: 2 VMs are more than floor_slots (1)"},
     {"field of a list item",
-     "kind: fleet\nfloor_slots: 2\nvms:\n"
+     "kind: fleet\nfloor_slots: 8\nvms:\n"
      "  - {id: n1, region: north, data_center: n}\n"
      "  - id: n1\n    region: south\n    data_center: s\n",
      "f:5: fleet/fleet.vms[1].id: 'n1' is duplicate"},
     {"a region that others need is left out",
-     "kind: fleet\nfloor_slots: 2\nvms:\n"
+     "kind: fleet\nfloor_slots: 8\nvms:\n"
      "  - {id: s1, region: south, data_center: s}\n",
      "f: account/shop.home_region: the fleet has no VM in region 'north'\n"
      "f: residency/stay-north.regions: the fleet has no VM in region 'north'"},
--- a/Tests/LibResource/resource_store.cpp
+++ b/Tests/LibResource/resource_store.cpp
@@ -230,7 +230,8 @@
          {deletion{resource_kind::account, "shop", 2},
           deletion{resource_kind::residency, "stay-north", 1},
           deletion{resource_kind::upstream_role, "engine", 1},
-          deletion{resource_kind::fleet, "fleet", 2}})
+          // Both regions are referred to, and its floors may be in use.
+          deletion{resource_kind::fleet, "fleet", 3}})
     {
         CAPTURE(it.name);
         auto store = make_store();
@@ -249,6 +250,51 @@
     CHECK(store.view().keys.empty());
 }
 
+TEST_CASE("fleet changes under which floors would exceed the rate are refused")
+{
+    struct fleet_change
+    {
+        const char* name;
+        std::uint32_t slots; // 8 before.
+        int removed;         // Of 4 VMs.
+        int added;
+        double floor_fraction; // 0.5 before.
+        const char* field;     // Of the finding; empty: applied.
+    };
+    for (const auto& it :
+         {fleet_change{"slots fall", 7, 0, 0, 0.5, "floor_slots"},
+          fleet_change{"slots fall with VMs", 7, 2, 0, 0.5, "floor_slots"},
+          fleet_change{"slot used again", 8, 1, 5, 0.5, "vms"},
+          fleet_change{"slots grow with VMs", 12, 0, 5, 0.5, "vms"},
+          fleet_change{"added, floor grows", 8, 0, 1, 0.6, "floor_fraction"},
+          fleet_change{"removed, floor grows", 8, 1, 0, 0.6, ""},
+          fleet_change{"added, floor falls", 8, 0, 1, 0.4, ""},
+          fleet_change{"free slots used", 8, 1, 4, 0.5, ""},
+          fleet_change{"slots grow, free slots used", 12, 0, 4, 0.5, ""}})
+    {
+        CAPTURE(it.name);
+        auto store = make_store();
+        auto fleet = make_fleet(it.slots);
+        // n2 and s2, so that both regions keep a VM.
+        for (int n = 0; n < it.removed; ++n)
+        {
+            fleet.vms.erase(fleet.vms.begin() + 1 + n);
+        }
+        for (int n = 0; n < it.added; ++n)
+        {
+            fleet.vms.push_back({core::concat("x", n), "south", "s-a"});
+        }
+        auto rate = make_rate("shop", 7);
+        rate.floor_fraction = it.floor_fraction;
+        const auto result =
+            apply(store, make_batch("x", {set(fleet), set(rate)}));
+        const bool is_applied = *it.field == '\0';
+        CHECK_EQ(name(result.outcome), is_applied ? "applied" : "refused");
+        REQUIRE_EQ(result.problems.size(), is_applied ? 0 : 1);
+        CHECK((is_applied || result.problems[0].field == it.field));
+    }
+}
+
 TEST_CASE("compare-and-set: a stale expectation is told the current value")
 {
     auto store = make_store();
