LibAdmission: Measure concurrency limits before a slow upstream

Cause: concurrency_limit was not part of the admission benchmark. Change: an upstream of 12 calls at a time slows down threefold for 60 of 240 s, behind fixed limits of 12 and 32, the gradient rule and AIMD up to 32.

--- a/Tests/LibAdmission/bench_admission.cpp
+++ b/Tests/LibAdmission/bench_admission.cpp
@@ -1,6 +1,8 @@
 // Waiting time of each account under fair and FIFO admission for one seeded
-// load in virtual time. Prints a table and JSON.
+// load in virtual time, and concurrency limits before an upstream that slows
+// down. Prints a table and JSON.
 
+#include <LibAdmission/concurrency_limit.hpp>
 #include <LibAdmission/fair_admission.hpp>
 #include <LibAdmission/fifo_admission.hpp>
 
@@ -9,6 +11,7 @@
 #include <algorithm>
 #include <cstdio>
 #include <memory>
+#include <optional>
 #include <unordered_map>
 #include <vector>
 
@@ -118,6 +121,150 @@
     return results;
 }
 
+struct slowdown_result
+{
+    std::vector<double> first_token; // Seconds from arrival, of all calls.
+    std::vector<double> at_upstream; // The part after admission.
+    double ran = 0;
+    double refused = 0; // As not run, early or after waiting.
+    double lowest_limit = 1e9;
+};
+
+// Five accounts use 15% each of an upstream that runs 12 calls at a time and
+// queues what is sent beyond them. From 60 s to 120 s every call takes three
+// times as long. Without a
+// rule the limit is `fixed`, else that is its ceiling.
+slowdown_result replay_slowdown(
+    std::optional<admission::limit_rule> rule, std::uint32_t fixed,
+    std::uint64_t seed)
+{
+    constexpr double first_token_seconds = 0.05;
+    core::seeded_random random(seed);
+    admission::fair_admission controller;
+    admission::limit_settings settings;
+    settings.rule = rule.value_or(admission::limit_rule::gradient);
+    settings.initial = slots;
+    settings.ceiling = fixed;
+    admission::concurrency_limit limit(settings);
+    slowdown_result result;
+    std::unordered_map<std::uint64_t, call> calls;
+    std::vector<std::pair<std::uint64_t, core::time_point>> queued;
+    std::vector<std::pair<core::time_point, std::uint64_t>> running;
+    const core::time_point start{1h};
+    core::time_point now = start;
+    std::uint64_t id = 0;
+    controller.set_capacity(rule ? limit.limit() : fixed, now);
+    const auto send = [&](std::uint64_t which) {
+        queued.emplace_back(which, now);
+    };
+    for (; now < start + 240s; now += 10ms)
+    {
+        const bool slow = now >= start + 60s && now < start + 120s;
+        std::erase_if(running, [&](const auto& it) {
+            if (it.first > now)
+            {
+                return false;
+            }
+            controller.finished(it.second, calls[it.second].tokens, false, now);
+            return true;
+        });
+        for (int a = 0; a < accounts; ++a)
+        {
+            constexpr double mean = 100;
+            if (random.uniform() >=
+                0.15 * slots / (mean * seconds_per_token) * 0.01)
+            {
+                continue;
+            }
+            admission::waiting_request request;
+            request.id = ++id;
+            request.account = std::to_string(a);
+            const double tokens = mean * (0.5 + random.uniform());
+            request.cost_tokens = 1.5 * tokens;
+            request.expected_run =
+                core::from_seconds(request.cost_tokens * seconds_per_token);
+            request.deadline = now + 20s;
+            calls[id] = {a, tokens, now};
+            const auto answer = controller.submit(request, now);
+            if (answer.verdict == admission::admission_verdict::run)
+            {
+                send(id);
+            }
+            result.refused +=
+                answer.verdict == admission::admission_verdict::refuse ? 1 : 0;
+        }
+        const auto update = controller.poll(now);
+        for (const auto it : update.run)
+        {
+            send(it);
+        }
+        result.refused += static_cast<double>(update.refused.size());
+        while (running.size() < slots && !queued.empty())
+        {
+            const auto [which, sent] = queued.front();
+            queued.erase(queued.begin());
+            const call& it = calls[which];
+            const double factor = slow ? 3 : 1;
+            const double first = first_token_seconds * factor;
+            running.emplace_back(
+                now + core::from_seconds(
+                          it.tokens * seconds_per_token * factor),
+                which);
+            const double wait = core::to_seconds(now - sent) + first;
+            result.ran += 1;
+            result.at_upstream.push_back(wait);
+            result.first_token.push_back(
+                core::to_seconds(now - it.sent) + first);
+            limit.observe(
+                core::from_seconds(wait),
+                static_cast<std::uint32_t>(running.size() + queued.size()),
+                false, now);
+        }
+        if (rule)
+        {
+            controller.set_capacity(limit.limit(), now);
+            result.lowest_limit =
+                std::min(result.lowest_limit, 1.0 * limit.limit());
+        }
+    }
+    return result;
+}
+
+void compare_limits(bool json)
+{
+    struct variant
+    {
+        const char* name;
+        std::optional<admission::limit_rule> rule;
+        std::uint32_t most;
+    };
+    if (!json)
+    {
+        std::printf(
+            "%-16s %6s %8s %10s %10s %10s %10s %8s\n", "limit", "ran",
+            "refused", "first p50", "first p99", "there p50", "there p99",
+            "lowest");
+    }
+    for (const variant& it :
+         {variant{"fixed 12", {}, slots}, variant{"fixed 32", {}, 32},
+          variant{"gradient to 32", admission::limit_rule::gradient, 32},
+          variant{"aimd to 32", admission::limit_rule::aimd, 32}})
+    {
+        auto one = replay_slowdown(it.rule, it.most, 42);
+        std::printf(
+            json ? "{\"limit\":\"%s\",\"ran\":%.0f,\"refused\":%.0f,"
+                   "\"first_token_p50_s\":%.3f,\"first_token_p99_s\":%.3f,"
+                   "\"at_upstream_p50_s\":%.3f,\"at_upstream_p99_s\":%.3f,"
+                   "\"lowest_limit\":%.0f}\n"
+                 : "%-16s %6.0f %8.0f %10.3f %10.3f %10.3f %10.3f %8.0f\n",
+            it.name, one.ran, one.refused, percentile(one.first_token, 0.5),
+            percentile(one.first_token, 0.99),
+            percentile(one.at_upstream, 0.5),
+            percentile(one.at_upstream, 0.99),
+            it.rule ? one.lowest_limit : it.most);
+    }
+}
+
 } // namespace
 
 int main(int argc, char** argv)
@@ -158,4 +305,5 @@
                 one.refused, one.expired);
         }
     }
+    compare_limits(json);
 }
