--- a/Tests/LibAdmission/bench_admission.cpp
+++ b/Tests/LibAdmission/bench_admission.cpp
@@ -207,8 +207,8 @@
             const double factor = slow ? 3 : 1;
             const double first = first_token_seconds * factor;
             running.emplace_back(
-                now + core::from_seconds(
-                          it.tokens * seconds_per_token * factor),
+                now +
+                    core::from_seconds(it.tokens * seconds_per_token * factor),
                 which);
             const double wait = core::to_seconds(now - sent) + first;
             result.ran += 1;
@@ -258,8 +258,7 @@
                    "\"lowest_limit\":%.0f}\n"
                  : "%-16s %6.0f %8.0f %10.3f %10.3f %10.3f %10.3f %8.0f\n",
             it.name, one.ran, one.refused, percentile(one.first_token, 0.5),
-            percentile(one.first_token, 0.99),
-            percentile(one.at_upstream, 0.5),
+            percentile(one.first_token, 0.99), percentile(one.at_upstream, 0.5),
             percentile(one.at_upstream, 0.99),
             it.rule ? one.lowest_limit : it.most);
     }
