LibHttp: Notice a reset caller and keep keys out of all headers

Contract tests of the gateway found two faults. A caller that reset its connection was not seen as gone: recv() failed with ECONNRESET where only the result 0 counted, so its upstream call ran on until the deadline (30 s waits in the test expired). And a caller's key reached upstreams in the query parameters x-api-key and x_api_key and in the allowed headers accept and tracestate.

Any error of recv() other than EAGAIN and EINTR now ends the request, the two names are removed, and an allowed header whose value contains the key is dropped. contains_key() finds a key in the rest of a target.

--- a/Libraries/LibHttp/header_policy.cpp
+++ b/Libraries/LibHttp/header_policy.cpp
@@ -26,14 +26,17 @@
     "cache-control", "content-language", "content-type", "etag",
     "last-modified", "location",         "retry-after",  "vary"};
 
-constexpr std::array<std::string_view, 9> credential_parameters{
-    "key",          "api_key", "api-key",       "apikey", "access_token",
-    "access-token", "token",   "authorization", "auth"};
+constexpr std::array<std::string_view, 11> credential_parameters{
+    "key",          "api_key",      "api-key",  "apikey",
+    "access_token", "access-token", "token",    "authorization",
+    "auth",         "x-api-key",    "x_api_key"};
 
 constexpr std::string_view bearer = "bearer ";
 
+// Values that contain `secret` are left out; an empty one is in none.
 template <typename Names, typename From, typename To>
-void copy_listed(const Names& names, const From& from, To& to)
+void copy_listed(
+    const Names& names, const From& from, To& to, std::string_view secret = {})
 {
     for (const auto name : names)
     {
@@ -41,7 +44,12 @@
         const auto range = from.equal_range(key);
         for (auto it = range.first; it != range.second; ++it)
         {
-            to.insert(key, it->value());
+            const std::string_view value(
+                it->value().data(), it->value().size());
+            if (secret.empty() || value.find(secret) == std::string_view::npos)
+            {
+                to.insert(key, it->value());
+            }
         }
     }
 }
@@ -76,17 +84,22 @@
     return out;
 }
 
-bool is_credential(std::string_view parameter)
+// A text can be encoded twice; decoding until nothing changes finds it.
+std::string fully_decoded(std::string_view text)
 {
-    const auto name = parameter.substr(0, parameter.find('='));
-    // A name can be encoded twice; decoding until nothing changes finds it.
-    std::string decoded(name);
+    std::string decoded(text);
     for (std::string next = percent_decode(decoded); next != decoded;
          next = percent_decode(decoded))
     {
         decoded = next;
     }
-    decoded = absl::AsciiStrToLower(decoded);
+    return decoded;
+}
+
+bool is_credential(std::string_view parameter)
+{
+    const auto name = parameter.substr(0, parameter.find('='));
+    std::string decoded = absl::AsciiStrToLower(fully_decoded(name));
     absl::StripAsciiWhitespace(&decoded);
     return std::find(
                credential_parameters.begin(), credential_parameters.end(),
@@ -97,7 +110,7 @@
 
 void copy_request_headers(const request& from, request& to)
 {
-    copy_listed(request_headers, from, to);
+    copy_listed(request_headers, from, to, caller_key(from));
 }
 
 void copy_response_headers(
@@ -130,6 +143,11 @@
     return out;
 }
 
+bool contains_key(std::string_view target, std::string_view key)
+{
+    return !key.empty() && fully_decoded(target).find(key) != std::string::npos;
+}
+
 std::string_view caller_key(const request& it)
 {
     std::string_view authorization = header_value(it, "authorization");
--- a/Libraries/LibHttp/server_session.cpp
+++ b/Libraries/LibHttp/server_session.cpp
@@ -12,6 +12,8 @@
 #include <glog/logging.h>
 #include <sys/socket.h>
 
+#include <cerrno>
+
 #include <exception>
 #include <utility>
 
@@ -35,9 +37,11 @@
 bool peer_closed(beast::tcp_stream& stream)
 {
     char c = 0;
-    return ::recv(
-               stream.socket().native_handle(), &c, 1,
-               MSG_PEEK | MSG_DONTWAIT) == 0;
+    const auto n =
+        ::recv(stream.socket().native_handle(), &c, 1, MSG_PEEK | MSG_DONTWAIT);
+    // A caller that resets the connection is gone as well.
+    return n == 0 ||
+           (n < 0 && errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR);
 }
 
 } // namespace
