LibGateway: Test faults of upstreams, callers, orders and forwarding

Fault tables over real HTTP found these faults, which are fixed here: - A refusal said not_run although an earlier attempt may have run, when the last attempt could not connect. - Part of an event of a failed attempt, or its error event, spoilt the stream of the next attempt. - An upstream that left the body open after [DONE] held the request until its deadline; the wait is 100 ms now, after the caller has its end. - An answer of a service above the size limit counted as a reset and was retried; an order then got result_unknown. It is answer_too_large now. - A refusal of another VM with a status below 500 was taken as the answer of an order and recorded. A VM's not_run is believed for every status, and its refusals of bad envelopes carry x-request-id. - A region without a reachable VM counted as a fault of its upstream. - A forwarded request ran although its residency rule did not exist here. - A key withdrawn while its request waited still started the request. - A key in another part of a service's target reached the upstream; such a request is refused as malformed_request. - A caller that left between admission and the call was not noticed. This one is fixed without a test, because no event separates the two moments.

The router now hears of the first token through dispatcher::first_token(), and total counts from the moment before choose().

--- a/Libraries/LibGateway/active_requests.cpp
+++ b/Libraries/LibGateway/active_requests.cpp
@@ -7,8 +7,6 @@
 
 namespace hyssoploft::gateway {
 
-namespace {
-
 bool is_withdrawn(const control_view& control, const std::string& digest)
 {
     const auto declared = control.configuration();
@@ -21,8 +19,6 @@
            control.is_withdrawn(digest);
 }
 
-} // namespace
-
 std::uint64_t
 active_requests::add(std::string key_digest, std::function<void()> on_withdrawn)
 {
--- a/Libraries/LibGateway/active_requests.hpp
+++ b/Libraries/LibGateway/active_requests.hpp
@@ -14,6 +14,9 @@
 
 namespace hyssoploft::gateway {
 
+/// True for the digest of a key that was withdrawn or deleted.
+bool is_withdrawn(const control_view& control, const std::string& key_digest);
+
 class active_requests
 {
 public:
--- a/Libraries/LibGateway/dispatcher.cpp
+++ b/Libraries/LibGateway/dispatcher.cpp
@@ -193,6 +193,15 @@
     return routing::choose_forwarding_vm(*fleet_, request, *random_);
 }
 
+void dispatcher::first_token(
+    const std::string& upstream, const routing::routing_request& request,
+    core::duration since_choice)
+{
+    const auto now = clock_->now();
+    const std::lock_guard lock(mutex_);
+    modules_.router->first_token(upstream, request, since_choice, now);
+}
+
 void dispatcher::call_finished(
     const std::string& upstream, const routing::routing_request& request,
     const routing::call_result& result)
--- a/Libraries/LibGateway/dispatcher.hpp
+++ b/Libraries/LibGateway/dispatcher.hpp
@@ -78,6 +78,12 @@
     routing::forwarding_result
     choose_vm(const routing::forwarding_request& request);
 
+    /// The first token, or the head of a whole answer, of a chosen call
+    /// arrived `since_choice` after choose().
+    void first_token(
+        const std::string& upstream, const routing::routing_request& request,
+        core::duration since_choice);
+
     void call_finished(
         const std::string& upstream, const routing::routing_request& request,
         const routing::call_result& result);
--- a/Libraries/LibGateway/gateway.cpp
+++ b/Libraries/LibGateway/gateway.cpp
@@ -6,6 +6,7 @@
 #include <LibGateway/public_pages.hpp>
 #include <LibGateway/service_run.hpp>
 #include <LibGateway/upstream_api.hpp>
+#include <LibHttp/header_policy.hpp>
 
 #include <glog/logging.h>
 
@@ -98,7 +99,15 @@
 http::asio::awaitable<void>
 respond_refusal(http::exchange& it, const refusal& refused)
 {
-    (void)co_await it.respond(to_response(refused));
+    auto answer = to_response(refused);
+    // The VM that forwarded a request believes an answer only with the
+    // identifier that it sent.
+    if (is_forwarded(it))
+    {
+        const auto id = http::header_value(it.message(), "x-request-id");
+        answer.set("x-request-id", {id.data(), id.size()});
+    }
+    (void)co_await it.respond(std::move(answer));
 }
 
 } // namespace
@@ -172,6 +181,18 @@
 
 http::asio::awaitable<void> gateway::handle_service(http::exchange& it)
 {
+    // A parameter that is known to carry keys is removed; a key elsewhere in
+    // the target can't be, and no upstream may see it.
+    if (http::contains_key(
+            http::strip_credentials(target_of(it)),
+            http::caller_key(it.message())))
+    {
+        co_await respond_refusal(
+            it, make_refusal(
+                    refusal_reason::malformed_request,
+                    "the target contains the key"));
+        co_return;
+    }
     const auto declared = services_->control->configuration();
     auto context = open_context(
         *services_, it, find_service_route(*declared, target_of(it)));
--- a/Libraries/LibGateway/inference_run.cpp
+++ b/Libraries/LibGateway/inference_run.cpp
@@ -20,6 +20,9 @@
 
 namespace json = boost::json;
 
+/// Time for the end of a stream's body after its end marker.
+constexpr std::chrono::milliseconds end_of_body_timeout{100};
+
 // Whole answers say in `usage` how many tokens were generated.
 std::optional<std::uint32_t> completion_tokens(const std::string& body)
 {
@@ -142,12 +145,25 @@
                 }
             });
         });
+    // It may have been withdrawn while the request waited.
+    withdrawn_ = is_withdrawn(*services_.control, context_.caller.key_digest);
 }
 
 http::asio::awaitable<void> inference_run::attempts()
 {
     for (;;)
     {
+        // The caller or its key can go between admission and this point; the
+        // handler of watch() then found no call to cancel.
+        if (caller_.caller_gone())
+        {
+            co_return;
+        }
+        if (withdrawn_)
+        {
+            co_await end_with_error();
+            co_return;
+        }
         ++attempts_;
         const auto end = co_await attempt();
         answered_ = end == attempt_end::answered;
@@ -200,6 +216,8 @@
     if (end == attempt_end::call_failed)
     {
         failure_ = call.failure();
+        may_have_run_ |=
+            !failure_ || failure_->state == retry::run_state::may_have_run;
         overloaded_ |= failure_ && failure_->kind ==
                                        retry::failure_kind::upstream_overloaded;
         excluded_.insert(call.upstream());
@@ -210,6 +228,7 @@
 http::asio::awaitable<inference_run::attempt_end>
 inference_run::relay_whole(target_call& call)
 {
+    call.set_first_token();
     auto body = co_await call.read_all();
     if (!body)
     {
@@ -249,6 +268,7 @@
         const std::string out = ended ? std::string() : stream_.feed(*piece);
         if (!out.empty())
         {
+            call.set_first_token();
             // The head goes out with the first event: until then the request
             // can be sent to another upstream unnoticed.
             if (!caller_.answer_started() && !co_await begin_answer(call))
@@ -272,9 +292,10 @@
         }
     }
     call.set_completed(stream_.generated_tokens() - before);
-    // Reads the end of the body, so that the connection can be used again.
-    (void)co_await call.read_some();
     (void)co_await caller_.end_stream();
+    // Reads the end of the body, so that the connection can be used again. An
+    // upstream that leaves it open must not hold the request.
+    (void)co_await call.read_some(end_of_body_timeout);
     co_return attempt_end::answered;
 }
 
@@ -325,6 +346,11 @@
         services_.metrics->get_counter("hyssoploft_streams_resumed_total")
             .add();
     }
+    else
+    {
+        // Part of an event of the failed attempt may be left.
+        stream_ = chat_stream();
+    }
     http::asio::steady_timer timer(caller_.executor(), decision.backoff);
     http::error_code ec;
     co_await timer.async_wait(
@@ -382,7 +408,9 @@
         refused_ = make_refusal(
             refusal_reason::withdrawn_key,
             "the key was withdrawn while the request ran",
-            caller_.answer_started() ? not_run::no : not_run::unknown);
+            caller_.answer_started() ? not_run::no
+            : attempts_ == 0         ? not_run::yes
+                                     : not_run::unknown);
     }
     else if (!refused_)
     {
@@ -390,6 +418,11 @@
                             : make_refusal(
                                   refusal_reason::upstream_failed,
                                   "the upstream failed");
+        // A later attempt that did not run says nothing of an earlier one.
+        if (may_have_run_ && refused_->ran == not_run::yes)
+        {
+            refused_->ran = not_run::unknown;
+        }
     }
     if (!caller_.answer_started())
     {
--- a/Libraries/LibGateway/inference_run.hpp
+++ b/Libraries/LibGateway/inference_run.hpp
@@ -59,11 +59,13 @@
     std::optional<rate::reservation> reserved_;
     std::set<std::string> excluded_; // Upstreams that failed this request.
     target_call* current_ = nullptr; // The call in progress.
-    std::optional<retry::call_failure> failure_; // Of the last attempt.
-    std::optional<refusal> refused_;             // Sent to the caller.
+    // Of the last attempt; its state covers all attempts.
+    std::optional<retry::call_failure> failure_;
+    std::optional<refusal> refused_; // Sent to the caller.
     std::uint32_t attempts_ = 0;
     std::uint32_t tokens_ = 0; // Generated for this request.
     std::uint64_t active_id_ = 0;
+    bool may_have_run_ = false; // An attempt may have reached an upstream.
     bool admitted_ = false;
     bool overloaded_ = false;
     bool withdrawn_ = false;
--- a/Libraries/LibGateway/request_context.cpp
+++ b/Libraries/LibGateway/request_context.cpp
@@ -170,6 +170,12 @@
         verified->allowed_regions.begin(), verified->allowed_regions.end()};
     // The rule that is in force here counts as well: it may be newer.
     const auto own_rule = regions_of(*out.configuration, out.route);
+    if (!out.route.residency.empty() && own_rule.empty())
+    {
+        return make_refusal(
+            refusal_reason::residency_forbids,
+            "the route's residency rule does not exist");
+    }
     if (!is_allowed(out.allowed_regions, services.self.region) ||
         !is_allowed(own_rule, services.self.region))
     {
--- a/Libraries/LibGateway/service_run.cpp
+++ b/Libraries/LibGateway/service_run.cpp
@@ -137,8 +137,15 @@
         co_return;
     }
     services_.dispatch->count_request();
+    const auto& digest = context_.caller.key_digest;
     // A forwarded call has its record at the entry VM.
-    if (repeatable() || context_.forwarded)
+    if (!digest.empty() && is_withdrawn(*services_.control, digest))
+    {
+        co_await refuse(make_refusal(
+            refusal_reason::withdrawn_key,
+            "the key was withdrawn while the request waited"));
+    }
+    else if (repeatable() || context_.forwarded)
     {
         // A call that may not be repeated goes on when its caller leaves: its
         // result is recorded for the caller's next try.
@@ -299,7 +306,7 @@
     {
         services_.ledger->abandon(request);
     }
-    else
+    else if (end.refused && end.refused->ran == not_run::unknown)
     {
         end.refused = refusal_of(ledger::begin_outcome::unknown);
     }
@@ -311,6 +318,14 @@
     call_end out;
     for (;;)
     {
+        // A repeatable call ends when its caller went away before it began or
+        // between two attempts.
+        if (repeatable() && caller_.caller_gone())
+        {
+            out.refused = make_refusal(
+                refusal_reason::upstream_failed, "the caller went away");
+            co_return out;
+        }
         ++attempts_;
         target_call call(services_, context_, caller_.pool());
         routing::routing_request routing;
@@ -335,6 +350,7 @@
         const bool started = co_await call.start(message(), !repeatable());
         if (started)
         {
+            call.set_first_token();
             auto body = co_await call.read_all();
             if (body)
             {
@@ -349,17 +365,29 @@
         }
         current_ = nullptr;
         const auto failure = call.failure();
-        if (call.cancelled() || !failure)
+        if (call.too_large())
         {
             out.refused = make_refusal(
                 refusal_reason::answer_too_large,
                 "the upstream's answer exceeds the size limit");
             co_return out;
         }
+        if (call.cancelled() || !failure)
+        {
+            out.refused = make_refusal(
+                refusal_reason::upstream_failed, "the caller went away");
+            co_return out;
+        }
         overloaded_ |=
             failure->kind == retry::failure_kind::upstream_overloaded;
         excluded_.insert(call.upstream());
         out.refused = failure_refusal(*failure);
+        // A later attempt that did not run says nothing of an earlier one.
+        may_have_run_ |= failure->state == retry::run_state::may_have_run;
+        if (may_have_run_ && out.refused->ran == not_run::yes)
+        {
+            out.refused->ran = not_run::unknown;
+        }
         if (!co_await may_retry(*failure))
         {
             co_return out;
--- a/Libraries/LibGateway/service_run.hpp
+++ b/Libraries/LibGateway/service_run.hpp
@@ -60,7 +60,8 @@
     target_call* current_ = nullptr;
     std::optional<refusal> refused_;
     std::uint32_t attempts_ = 0;
-    unsigned status_ = 0; // Of the answer that was sent.
+    unsigned status_ = 0;       // Of the answer that was sent.
+    bool may_have_run_ = false; // An attempt may have reached an upstream.
     bool overloaded_ = false;
     bool replayed_ = false;
 };
--- a/Libraries/LibGateway/target_call.cpp
+++ b/Libraries/LibGateway/target_call.cpp
@@ -86,11 +86,10 @@
     }
     routing::call_result result;
     result.outcome = outcome();
-    const auto now = services_.dispatch->now();
-    result.total = now - started_;
-    result.first_token = first_byte_ == core::time_point()
+    result.total = services_.dispatch->now() - started_;
+    result.first_token = first_token_ == core::time_point()
                              ? core::duration()
-                             : first_byte_ - started_;
+                             : first_token_ - started_;
     result.answer_tokens = tokens_;
     result.bytes = call_->bytes();
     services_.dispatch->call_finished(decision_.upstream, routing_, result);
@@ -102,6 +101,7 @@
 {
     routing_ = request;
     routing_.local_only = context_.forwarded;
+    started_ = services_.dispatch->now();
     const auto result = services_.dispatch->choose(routing_);
     if (!result.chosen)
     {
@@ -109,7 +109,6 @@
     }
     chosen_ = true;
     decision_ = result.decision;
-    started_ = services_.dispatch->now();
     start_unix_ns_ = services_.dispatch->unix_nanoseconds();
     trace_ = telemetry::child_of(context_.trace, *services_.random);
     attempt_id_ = new_identifier(*services_.random);
@@ -152,6 +151,8 @@
     const auto vm = fleet->vms.find(result.vm);
     if (result.vm.empty() || vm == fleet->vms.end())
     {
+        // Nothing was sent, so this must not count against the upstream.
+        cancelled_ = true;
         return make_refusal(
             refusal_reason::no_upstream,
             core::concat(
@@ -211,7 +212,6 @@
 void target_call::observe_head()
 {
     const auto& it = call_->head();
-    first_byte_ = services_.dispatch->now();
     seen_.status = static_cast<int>(it.result_int());
     // An answer of another call, crossed by the upstream or a proxy.
     seen_.identified = http::header_value(it, "x-request-id") == attempt_id_;
@@ -242,7 +242,13 @@
 
 http::asio::awaitable<std::optional<std::string>> target_call::read_some()
 {
-    auto piece = co_await call_->read_some(remaining());
+    return read_some(std::chrono::nanoseconds::max());
+}
+
+http::asio::awaitable<std::optional<std::string>>
+target_call::read_some(std::chrono::nanoseconds limit)
+{
+    auto piece = co_await call_->read_some(std::min(limit, remaining()));
     if (!piece.ok())
     {
         observe(piece.status());
@@ -265,6 +271,17 @@
     co_return *std::move(body);
 }
 
+void target_call::set_first_token()
+{
+    if (first_token_ != core::time_point())
+    {
+        return;
+    }
+    first_token_ = services_.dispatch->now();
+    services_.dispatch->first_token(
+        decision_.upstream, routing_, first_token_ - started_);
+}
+
 void target_call::set_malformed()
 {
     seen_.parsed = false;
@@ -284,6 +301,18 @@
 
 std::optional<retry::call_failure> target_call::failure() const
 {
+    const bool whole =
+        seen_.end == retry::transport_end::whole && seen_.identified;
+    if (whole && seen_.statement == retry::run_statement::not_run)
+    {
+        // Another VM refused, whatever the status: this is neither an answer
+        // of the upstream nor its fault.
+        return retry::call_failure{
+            seen_.status == 429 || seen_.status == 503
+                ? retry::failure_kind::upstream_overloaded
+                : retry::failure_kind::upstream_error,
+            retry::run_state::not_run, false};
+    }
     return retry::classify(seen_);
 }
 
@@ -305,7 +334,7 @@
         return routing::call_outcome::cancelled;
     }
     const auto failed = failure();
-    if (failed && failed->kind == retry::failure_kind::upstream_overloaded)
+    if (failed && !failed->upstream_fault)
     {
         return routing::call_outcome::rejected_full;
     }
--- a/Libraries/LibGateway/target_call.hpp
+++ b/Libraries/LibGateway/target_call.hpp
@@ -43,9 +43,17 @@
     /// broke off.
     http::asio::awaitable<std::optional<std::string>> read_some();
 
+    /// The next piece within `limit` at most, and within the deadline.
+    http::asio::awaitable<std::optional<std::string>>
+    read_some(std::chrono::nanoseconds limit);
+
     /// The whole body. Nothing if it broke off or is too large.
     http::asio::awaitable<std::optional<std::string>> read_all();
 
+    /// Tells the router that the first event of a stream or the head of a
+    /// whole answer arrived. Only the first call counts.
+    void set_first_token();
+
     /// Marks a stream's end marker as missing or the answer as malformed.
     void set_malformed();
 
@@ -103,7 +111,7 @@
     telemetry::trace_context trace_;
     std::uint64_t start_unix_ns_ = 0;
     core::time_point started_{};
-    core::time_point first_byte_{};
+    core::time_point first_token_{};
     retry::call_observation seen_;
     std::uint32_t tokens_ = 0;
     bool chosen_ = false; // The router counts this call as in flight.
--- a/Tests/LibGateway/scripted_upstream.cpp
+++ b/Tests/LibGateway/scripted_upstream.cpp
@@ -77,6 +77,9 @@
 {
     http::beast::flat_buffer buffer;
     http::error_code ec;
+    state_.with([&] {
+        ++connections;
+    });
     for (;;)
     {
         bhttp::request_parser<bhttp::string_body> parser;
--- a/Tests/LibGateway/scripted_upstream.hpp
+++ b/Tests/LibGateway/scripted_upstream.hpp
@@ -50,6 +50,7 @@
     /// Call under the monitor's lock.
     std::vector<http::request> received;
     std::size_t closed_by_gateway = 0; ///< While a reply was held.
+    std::size_t connections = 0;
 
 private:
     http::asio::awaitable<void> accept();
