LibGateway: Follow rules in force, refuse circling calls, bind envelopes

Cause: five findings of the process tests and of the read-through: retries and resumes kept the residency rule of the entry; a VM announced as an upstream made calls circle; hyssopctl could not read the directory; an envelope signed the body only; refused service calls had no span. Change: each attempt is narrowed by the rule in force; calls to upstreams name the VM, and a VM refuses such a call; the directory is written by the type that hyssopctl reads; envelopes bind method and target as well.

--- a/Libraries/LibGateway/envelope.hpp
+++ b/Libraries/LibGateway/envelope.hpp
@@ -20,6 +20,10 @@
 
 inline constexpr std::string_view envelope_header = "x-hyssoploft-envelope";
 
+/// Names the VM that calls an upstream. A VM that gets it was announced as an
+/// upstream, and refuses the request, which would circle.
+inline constexpr std::string_view via_header = "x-hyssoploft-via";
+
 struct envelope
 {
     std::string account;
@@ -29,7 +33,7 @@
     std::string request_id;
     std::uint32_t hops = 1;           ///< VMs that had the request.
     std::vector<std::string> visited; ///< Their identifiers, entry VM first.
-    std::string body_digest;          ///< SHA-256, hexadecimal.
+    std::string body_digest;          ///< digest_of_request()
     std::uint64_t issued_unix_ms = 0;
     std::uint64_t config_version = 0; ///< In force at the sender.
 
--- a/Libraries/LibGateway/gateway.cpp
+++ b/Libraries/LibGateway/gateway.cpp
@@ -131,6 +131,14 @@
         (void)co_await it.respond(*std::move(page));
         co_return;
     }
+    if (!http::header_value(it.message(), via_header).empty())
+    {
+        co_await respond_refusal(
+            it, make_refusal(
+                    refusal_reason::loop_detected,
+                    "a VM of the fleet is announced as an upstream"));
+        co_return;
+    }
     if (target == chat_path)
     {
         co_await handle_chat(it);
--- a/Libraries/LibGateway/public_pages.cpp
+++ b/Libraries/LibGateway/public_pages.cpp
@@ -4,6 +4,7 @@
 
 #include <LibCore/text.hpp>
 #include <LibMembership/entry_vm_directory.hpp>
+#include <LibResource/admin_api.hpp>
 
 #include <absl/strings/str_split.h>
 #include <boost/json.hpp>
@@ -75,22 +76,20 @@
     query.caller = it.remote().to_string();
     query.limit = fleet->vms.size();
     const auto list = membership::find_entry_vms(*fleet, query);
-    json::array vms;
+    resource::entry_vm_list out;
+    out.lifetime_seconds = core::to_seconds(list.lifetime);
     for (const auto& vm : list.vms)
     {
-        if (!regions.empty() && regions.count(vm.region) == 0)
+        if (regions.empty() || regions.contains(vm.region))
         {
-            continue;
+            out.vms.push_back(
+                {vm.id, vm.http_address, vm.region, vm.data_center});
         }
-        vms.push_back(json::object{
-            {"id", vm.id},
-            {"address", vm.http_address},
-            {"region", vm.region},
-            {"data_center", vm.data_center}});
     }
-    return json_answer(json::object{
-        {"entry_vms", std::move(vms)},
-        {"lifetime_seconds", core::to_seconds(list.lifetime)}});
+    http::response answer(http::bhttp::status::ok, 11);
+    answer.set(http::bhttp::field::content_type, "application/json");
+    answer.body() = resource::to_json_text(out);
+    return answer;
 }
 
 http::response models(gateway_services& services, const http::exchange& it)
--- a/Libraries/LibGateway/request_context.cpp
+++ b/Libraries/LibGateway/request_context.cpp
@@ -145,7 +145,7 @@
             refusal_reason::loop_detected,
             "the request passed this VM before or passed too many VMs");
     }
-    const auto body_digest = core::to_hex(core::sha256(it.message().body()));
+    const auto body_digest = digest_of_request(it.message());
     const auto fresh = services.replays.admit(
         *verified, services.dispatch->unix_nanoseconds() / ns_per_ms);
     if (body_digest != verified->body_digest || !fresh.ok())
@@ -192,6 +192,41 @@
     return out;
 }
 
+bool narrow_to_rule_in_force(
+    const gateway_services& services, const request_context& context,
+    std::set<std::string>& regions)
+{
+    const auto declared = services.control->configuration();
+    const auto route = declared->routes.find(context.route.name);
+    const auto rule = regions_of(
+        *declared,
+        route == declared->routes.end() ? context.route : route->second);
+    if (regions.empty())
+    {
+        regions = rule;
+    }
+    else if (!rule.empty())
+    {
+        std::erase_if(regions, [&rule](const std::string& it) {
+            return !rule.contains(it);
+        });
+        if (regions.empty())
+        {
+            return false;
+        }
+    }
+    return is_allowed(regions, services.self.region);
+}
+
+std::string digest_of_request(const http::request& it)
+{
+    const auto method = it.method_string();
+    const auto target = it.target();
+    return core::to_hex(core::sha256(core::concat(
+        std::string_view(method.data(), method.size()), "\n",
+        std::string_view(target.data(), target.size()), "\n", it.body())));
+}
+
 std::vector<std::string> vms_in_regions(
     const membership::fleet_view& fleet, const std::set<std::string>& regions)
 {
@@ -211,7 +246,8 @@
 
 envelope make_envelope(
     const request_context& context, const std::string& attempt_id,
-    std::string_view body, core::time_point now, std::uint64_t now_unix_ns)
+    const http::request& message, core::time_point now,
+    std::uint64_t now_unix_ns)
 {
     envelope it;
     it.account = context.caller.account;
@@ -226,7 +262,7 @@
     it.request_id = attempt_id;
     it.hops = context.hops;
     it.visited = {context.visited.begin(), context.visited.end()};
-    it.body_digest = core::to_hex(core::sha256(body));
+    it.body_digest = digest_of_request(message);
     it.issued_unix_ms = now_unix_ns / ns_per_ms;
     it.config_version = context.configuration->version;
     return it;
--- a/Libraries/LibGateway/request_context.hpp
+++ b/Libraries/LibGateway/request_context.hpp
@@ -76,14 +76,26 @@
 std::variant<request_context, refusal>
 open_forwarded(gateway_services& services, const http::exchange& it);
 
+/// Narrows `regions` (empty: all) by the residency rule that is in force now.
+/// False if no region is left, or not this VM's: the request must not be sent
+/// anywhere any more.
+bool narrow_to_rule_in_force(
+    const gateway_services& services, const request_context& context,
+    std::set<std::string>& regions);
+
 /// "IP:port" of live VMs in these regions, other than this VM; at most 3.
 std::vector<std::string> vms_in_regions(
     const membership::fleet_view& fleet, const std::set<std::string>& regions);
 
-/// The envelope to send with a request that is forwarded with `body`.
+/// SHA-256 of method, target and body, in hexadecimal: a signed envelope
+/// belongs to exactly one request.
+std::string digest_of_request(const http::request& it);
+
+/// The envelope to send with `message`.
 envelope make_envelope(
     const request_context& context, const std::string& attempt_id,
-    std::string_view body, core::time_point now, std::uint64_t now_unix_ns);
+    const http::request& message, core::time_point now,
+    std::uint64_t now_unix_ns);
 
 /// 128 random bits in hexadecimal.
 std::string new_identifier(core::random_source& random);
--- a/Libraries/LibGateway/service_run.cpp
+++ b/Libraries/LibGateway/service_run.cpp
@@ -119,6 +119,7 @@
     if (auto refused = reserve())
     {
         co_await refuse(*std::move(refused));
+        write_span();
         co_return;
     }
     admission::waiting_request waiting;
@@ -134,6 +135,7 @@
     {
         settle(false);
         co_await refuse(*std::move(refused));
+        write_span();
         co_return;
     }
     services_.dispatch->count_request();
--- a/Libraries/LibGateway/target_call.cpp
+++ b/Libraries/LibGateway/target_call.cpp
@@ -101,6 +101,14 @@
 {
     routing_ = request;
     routing_.local_only = context_.forwarded;
+    // The rule may have changed since the request began; retries and resumes
+    // follow the one in force.
+    if (!narrow_to_rule_in_force(services_, context_, routing_.allowed_regions))
+    {
+        return make_refusal(
+            refusal_reason::residency_forbids,
+            "the residency rule changed while the request ran");
+    }
     started_ = services_.dispatch->now();
     const auto result = services_.dispatch->choose(routing_);
     if (!result.chosen)
@@ -173,13 +181,19 @@
     if (!via_vm_.empty())
     {
         const auto it = make_envelope(
-            context_, attempt_id_, message.body(), services_.dispatch->now(),
+            context_, attempt_id_, message, services_.dispatch->now(),
             services_.dispatch->unix_nanoseconds());
         message.set(
             http::beast::string_view(
                 envelope_header.data(), envelope_header.size()),
             sign(it, services_.self.fleet_keys.front()));
     }
+    else
+    {
+        message.set(
+            http::beast::string_view(via_header.data(), via_header.size()),
+            services_.self.id);
+    }
     const auto status =
         co_await call_->start(address_, std::move(message), fresh, remaining());
     observe(status);
--- a/Tests/LibGateway/forwarding.cpp
+++ b/Tests/LibGateway/forwarding.cpp
@@ -4,6 +4,7 @@
 
 #include <LibCore/text.hpp>
 #include <LibGateway/envelope.hpp>
+#include <LibGateway/request_context.hpp>
 
 #include <doctest.h>
 
@@ -30,7 +31,9 @@
     it.remaining_ms = 10'000;
     it.request_id = "attempt-1";
     it.visited = {"vm-9"};
-    it.body_digest = core::to_hex(core::sha256(chat_body()));
+    http::request message(http::bhttp::verb::post, "/v1/chat/completions", 11);
+    message.body() = chat_body();
+    it.body_digest = gateway::digest_of_request(message);
     it.issued_unix_ms = core::system_clock().unix_nanoseconds() / ns_per_ms;
     return it;
 }
@@ -77,6 +80,13 @@
              it.body_digest = core::to_hex(core::sha256("other"));
          },
          403, "envelope_invalid"},
+        {"another path",
+         [](env& it, conf&) {
+             http::request message(http::bhttp::verb::post, "/other", 11);
+             message.body() = chat_body();
+             it.body_digest = gateway::digest_of_request(message);
+         },
+         403, "envelope_invalid"},
         {"loop",
          [](env& it, conf&) {
              it.visited = {"vm-1"};
@@ -129,6 +139,16 @@
     }
 }
 
+TEST_CASE("a VM that was announced as an upstream refuses the call")
+{
+    gateway_fixture it;
+    const auto got = it.call(chat_text(false, "x-hyssoploft-via: vm-2\r\n"));
+    CHECK_EQ(got.status, 508);
+    CHECK_EQ(got.reason, "loop_detected");
+    CHECK_EQ(got.not_run, "true");
+    CHECK_EQ(it.calls(), 0);
+}
+
 TEST_CASE("a forged or replayed envelope runs nothing")
 {
     gateway_fixture it;
--- a/Tests/Load/caller.cpp
+++ b/Tests/Load/caller.cpp
@@ -95,7 +95,7 @@
                 continue;
             }
             std::vector<entry_vm> list;
-            for (const auto& vm : parsed.at("entry_vms").as_array())
+            for (const auto& vm : parsed.at("vms").as_array())
             {
                 list.push_back(
                     {vm.at("address").as_string().c_str(),
