LibGateway: End calls to VMs and upstreams that are gone

Change: calls are registered with the time of their last byte; when the membership says that the VM is dead or the upstream's lease ended, and nothing came for 3 s, the call fails as a reset and is retried or resumed. Orders are left alone, since they are never sent again.

--- a/Libraries/LibGateway/gateway.cpp
+++ b/Libraries/LibGateway/gateway.cpp
@@ -218,6 +218,8 @@
 {
     services_->dispatch->tick();
     services_->active.end_withdrawn(*services_->control);
+    services_->calls.end_lost(
+        *services_->control->fleet(), services_->dispatch->now());
 }
 
 void gateway::shut_down()
--- a/Libraries/LibGateway/request_context.hpp
+++ b/Libraries/LibGateway/request_context.hpp
@@ -10,6 +10,7 @@
 #include <LibGateway/dispatcher.hpp>
 #include <LibGateway/envelope.hpp>
 #include <LibGateway/refusal.hpp>
+#include <LibGateway/running_calls.hpp>
 #include <LibLedger/ledger_client.hpp>
 #include <LibTelemetry/metrics.hpp>
 #include <LibTelemetry/span_exporter.hpp>
@@ -44,6 +45,7 @@
     telemetry::metrics* metrics = nullptr; ///< Outlives the gateway.
     std::unique_ptr<authenticator> keys;
     active_requests active;
+    running_calls calls;
     replay_guard replays;
     std::string upstream_token; ///< Empty: announcements need none.
 };
--- /dev/null
+++ b/Libraries/LibGateway/running_calls.cpp
@@ -0,0 +1,66 @@
+// Ends calls to VMs and upstreams that are gone.
+
+#include <LibGateway/running_calls.hpp>
+
+#include <utility>
+#include <vector>
+
+namespace hyssoploft::gateway {
+
+namespace {
+
+bool is_gone(const membership::fleet_view& fleet, const running_call& it)
+{
+    if (!it.via_vm.empty())
+    {
+        const auto vm = fleet.vms.find(it.via_vm);
+        return vm == fleet.vms.end() ||
+               vm->second.state == membership::vm_state::dead;
+    }
+    const auto upstream = fleet.upstreams.find(it.upstream);
+    return upstream == fleet.upstreams.end() ||
+           upstream->second.state == membership::upstream_state::expired;
+}
+
+} // namespace
+
+std::uint64_t running_calls::add(running_call it)
+{
+    const std::lock_guard lock(mutex_);
+    const std::uint64_t id = next_id_++;
+    calls_[id] = std::move(it);
+    return id;
+}
+
+void running_calls::remove(std::uint64_t id)
+{
+    const std::lock_guard lock(mutex_);
+    calls_.erase(id);
+}
+
+void running_calls::end_lost(
+    const membership::fleet_view& fleet, core::time_point now)
+{
+    std::vector<std::function<void()>> lost;
+    {
+        const std::lock_guard lock(mutex_);
+        for (auto it = calls_.begin(); it != calls_.end();)
+        {
+            const core::time_point last(
+                core::duration(it->second.last_byte->load()));
+            if (now - last >= silence_time && is_gone(fleet, it->second))
+            {
+                lost.push_back(std::move(it->second.on_lost));
+                it = calls_.erase(it);
+                continue;
+            }
+            ++it;
+        }
+    }
+    for (const auto& it : lost)
+    {
+        it();
+    }
+}
+
+} // namespace hyssoploft::gateway
--- a/Libraries/LibGateway/target_call.cpp
+++ b/Libraries/LibGateway/target_call.cpp
@@ -4,6 +4,9 @@
 
 #include <LibCore/text.hpp>
 
+#include <boost/asio/post.hpp>
+#include <boost/asio/this_coro.hpp>
+
 #include <algorithm>
 #include <utility>
 
@@ -80,6 +83,10 @@
 
 target_call::~target_call()
 {
+    if (running_id_ != 0)
+    {
+        services_.calls.remove(running_id_);
+    }
     if (!chosen_)
     {
         return;
@@ -194,6 +201,8 @@
             http::beast::string_view(via_header.data(), via_header.size()),
             services_.self.id);
     }
+    const auto executor = co_await http::asio::this_coro::executor;
+    watch_target(executor);
     const auto status =
         co_await call_->start(address_, std::move(message), fresh, remaining());
     observe(status);
@@ -204,6 +213,31 @@
     co_return !failure().has_value() && !cancelled_;
 }
 
+void target_call::watch_target(const http::asio::any_io_executor& executor)
+{
+    // An order that was sent is never sent again, so it waits for its answer.
+    if (context_.route.repeat != resource::repeat_rule::idempotent)
+    {
+        return;
+    }
+    note_byte();
+    running_id_ = services_.calls.add(
+        {via_vm_, decision_.upstream, last_byte_,
+         [executor, weak = std::weak_ptr<http::http_call>(call_)] {
+             http::asio::post(executor, [weak] {
+                 if (const auto call = weak.lock())
+                 {
+                     call->cancel();
+                 }
+             });
+         }});
+}
+
+void target_call::note_byte()
+{
+    last_byte_->store(services_.dispatch->now().time_since_epoch().count());
+}
+
 void target_call::observe(const absl::Status& status)
 {
     const bool sent = call_->stage() != http::call_stage::connecting;
@@ -225,6 +259,7 @@
 
 void target_call::observe_head()
 {
+    note_byte();
     const auto& it = call_->head();
     seen_.status = static_cast<int>(it.result_int());
     // An answer of another call, crossed by the upstream or a proxy.
@@ -268,6 +303,7 @@
         observe(piece.status());
         co_return std::nullopt;
     }
+    note_byte();
     seen_.body_started = true;
     co_return *std::move(piece);
 }
--- a/Libraries/LibGateway/target_call.hpp
+++ b/Libraries/LibGateway/target_call.hpp
@@ -94,6 +94,8 @@
 
 private:
     std::optional<refusal> choose_vm();
+    void watch_target(const http::asio::any_io_executor& executor);
+    void note_byte();
     void observe(const absl::Status& status);
     void observe_head();
     std::chrono::nanoseconds remaining() const;
@@ -114,6 +116,9 @@
     core::time_point first_token_{};
     retry::call_observation seen_;
     std::uint32_t tokens_ = 0;
+    std::uint64_t running_id_ = 0; // In services_.calls; 0: none.
+    std::shared_ptr<last_byte_time> last_byte_ =
+        std::make_shared<last_byte_time>(0);
     bool chosen_ = false; // The router counts this call as in flight.
     bool completed_ = false;
     bool cancelled_ = false;
