--- a/Libraries/LibGateway/chat_request.cpp
+++ b/Libraries/LibGateway/chat_request.cpp
@@ -5,13 +5,12 @@
 #include <LibCore/text.hpp>
 #include <LibRouting/router.hpp>
 
+#include <xxhash.h>
+
 #include <algorithm>
 #include <memory>
 #include <utility>
 
-#define XXH_INLINE_ALL
-#include <xxhash.h>
-
 namespace hyssoploft::gateway {
 
 namespace {
--- a/Libraries/LibGateway/inference_run.cpp
+++ b/Libraries/LibGateway/inference_run.cpp
@@ -475,25 +475,9 @@
     const std::string result =
         refused_ ? std::string(rule_of(refused_->reason).name)
                  : std::string(answered_ ? "answered" : "caller_gone");
-    services_.metrics
-        ->get_counter(
-            "hyssoploft_requests_total",
-            {{"kind", "inference"}, {"result", result}})
-        .add();
-    telemetry::span it;
-    it.context = context_.trace;
-    it.parent_span_id = context_.parent_span;
-    it.name = context_.forwarded ? "forwarded inference" : "inference";
-    it.start_unix_ns = context_.start_unix_ns;
-    it.end_unix_ns = services_.dispatch->unix_nanoseconds();
-    it.error = refused_.has_value();
-    it.attributes = {{"request.id", context_.request_id},
-                     {"account", context_.caller.account},
-                     {"route", context_.route.name},
-                     {"result", result},
-                     {"attempts", std::to_string(attempts_)},
-                     {"tokens", std::to_string(tokens_)}};
-    services_.spans->finished(std::move(it));
+    record_request(
+        services_, context_,
+        {"inference", result, refused_.has_value(), attempts_, tokens_});
 }
 
 } // namespace hyssoploft::gateway
--- a/Libraries/LibGateway/request_context.cpp
+++ b/Libraries/LibGateway/request_context.cpp
@@ -218,6 +218,32 @@
     return is_allowed(regions, services.self.region);
 }
 
+void record_request(
+    gateway_services& services, const request_context& context,
+    const request_summary& summary)
+{
+    services.metrics
+        ->get_counter(
+            "hyssoploft_requests_total",
+            {{"kind", summary.kind}, {"result", summary.result}})
+        .add();
+    telemetry::span it;
+    it.context = context.trace;
+    it.parent_span_id = context.parent_span;
+    it.name = (context.forwarded ? "forwarded " : "") + summary.kind;
+    it.start_unix_ns = context.start_unix_ns;
+    it.end_unix_ns = services.dispatch->unix_nanoseconds();
+    it.error = summary.refused;
+    it.attributes = {
+        {"request.id", context.request_id},
+        {"account", context.caller.account},
+        {"route", context.route.name},
+        {"result", summary.result},
+        {"attempts", std::to_string(summary.attempts)},
+        {"tokens", std::to_string(summary.tokens)}};
+    services.spans->finished(std::move(it));
+}
+
 std::string digest_of_request(const http::request& it)
 {
     const auto method = it.method_string();
--- a/Libraries/LibGateway/request_context.hpp
+++ b/Libraries/LibGateway/request_context.hpp
@@ -89,6 +89,21 @@
 std::vector<std::string> vms_in_regions(
     const membership::fleet_view& fleet, const std::set<std::string>& regions);
 
+/// How a request ended, for its span and its counter.
+struct request_summary
+{
+    std::string kind;   ///< "inference" or "service".
+    std::string result; ///< Name of a refusal, "answered" or the like.
+    bool refused = false;
+    std::uint32_t attempts = 0;
+    std::uint32_t tokens = 0; ///< Generated.
+};
+
+/// Writes the span of the request's hop and counts its result.
+void record_request(
+    gateway_services& services, const request_context& context,
+    const request_summary& summary);
+
 /// SHA-256 of method, target and body, in hexadecimal: a signed envelope
 /// belongs to exactly one request.
 std::string digest_of_request(const http::request& it);
--- a/Libraries/LibGateway/service_run.cpp
+++ b/Libraries/LibGateway/service_run.cpp
@@ -9,7 +9,6 @@
 
 #include <glog/logging.h>
 
-#include <algorithm>
 #include <utility>
 
 namespace hyssoploft::gateway {
@@ -88,8 +87,9 @@
 
 double service_run::cost_tokens() const
 {
-    return 1.0 + static_cast<double>(
-                     caller_.message().body().size() / bytes_per_token);
+    const std::size_t tokens =
+        caller_.message().body().size() / bytes_per_token;
+    return 1.0 + static_cast<double>(tokens);
 }
 
 std::optional<refusal> service_run::reserve()
@@ -469,25 +469,9 @@
     const std::string result =
         refused_ ? std::string(rule_of(refused_->reason).name)
                  : std::string(replayed_ ? "replayed" : "answered");
-    services_.metrics
-        ->get_counter(
-            "hyssoploft_requests_total",
-            {{"kind", "service"}, {"result", result}})
-        .add();
-    telemetry::span it;
-    it.context = context_.trace;
-    it.parent_span_id = context_.parent_span;
-    it.name = context_.forwarded ? "forwarded service" : "service";
-    it.start_unix_ns = context_.start_unix_ns;
-    it.end_unix_ns = services_.dispatch->unix_nanoseconds();
-    it.error = refused_.has_value();
-    it.attributes = {
-        {"request.id", context_.request_id},
-        {"account", context_.caller.account},
-        {"route", context_.route.name},
-        {"result", result},
-        {"attempts", std::to_string(attempts_)}};
-    services_.spans->finished(std::move(it));
+    record_request(
+        services_, context_,
+        {"service", result, refused_.has_value(), attempts_, 0});
 }
 
 } // namespace hyssoploft::gateway
