LibGateway: Record the time of requests and to the first token

Cause: metrics had no latency, which is what the users weigh most. Conclusion: the tail can be watched at each VM.

--- a/Libraries/LibGateway/request_context.cpp
+++ b/Libraries/LibGateway/request_context.cpp
@@ -241,6 +241,13 @@
         {"result", summary.result},
         {"attempts", std::to_string(summary.attempts)},
         {"tokens", std::to_string(summary.tokens)}};
+    constexpr double ns_per_second = 1e9;
+    services.metrics
+        ->get_distribution(
+            "hyssoploft_request_seconds", {{"kind", summary.kind}})
+        .record(
+            static_cast<double>(it.end_unix_ns - it.start_unix_ns) /
+            ns_per_second);
     services.spans->finished(std::move(it));
 }
 
--- a/Libraries/LibGateway/target_call.cpp
+++ b/Libraries/LibGateway/target_call.cpp
@@ -100,6 +100,11 @@
     result.answer_tokens = tokens_;
     result.bytes = call_->bytes();
     services_.dispatch->call_finished(decision_.upstream, routing_, result);
+    if (completed_ && result.first_token.count() > 0)
+    {
+        services_.metrics->get_distribution("hyssoploft_first_token_seconds")
+            .record(core::to_seconds(result.first_token));
+    }
     write_span();
 }
 
