LibHttp: Let no pending accept keep the server and its threads alive

Cause: the address sanitizer reported 1.7 MB of leaks in test_libgateway: when a thread is stopped with an accept pending, the handler owns the server, the server its threads, and their event loop the handler. Change: handlers of the server hold weak references; the owner keeps it alive. Conclusion: sessions still keep themselves alive; the server does not need to.

--- a/Libraries/LibHttp/http_server.cpp
+++ b/Libraries/LibHttp/http_server.cpp
@@ -61,19 +61,29 @@
       pause_(threads_.front()->context())
 {}
 
+// NOTE: Handlers hold weak references. The server owns the threads whose event
+// loops hold the handlers, so that shared ones would keep all of them alive
+// when a thread is stopped with a handler pending.
+
 void http_server::start()
 {
-    asio::post(acceptor_.get_executor(), [self = shared_from_this()] {
-        self->accept_next();
+    asio::post(acceptor_.get_executor(), [weak = weak_from_this()] {
+        if (const auto self = weak.lock())
+        {
+            self->accept_next();
+        }
     });
 }
 
 void http_server::drain()
 {
     load_->draining = true;
-    asio::post(acceptor_.get_executor(), [self = shared_from_this()] {
-        error_code ec;
-        self->acceptor_.close(ec);
+    asio::post(acceptor_.get_executor(), [weak = weak_from_this()] {
+        if (const auto self = weak.lock())
+        {
+            error_code ec;
+            self->acceptor_.close(ec);
+        }
     });
 }
 
@@ -81,34 +91,38 @@
 {
     auto& thread = *threads_[next_thread_++ % threads_.size()];
     acceptor_.async_accept(
-        thread.context(), [self = shared_from_this(),
+        thread.context(), [weak = weak_from_this(),
                            &thread](const error_code& ec, tcp::socket socket) {
-            if (!self->acceptor_.is_open())
-            {
-                return;
-            }
-            const bool full =
-                self->load_->connections >= self->max_connections_;
-            if (!ec && !full)
+            const auto self = weak.lock();
+            if (self && self->acceptor_.is_open())
             {
-                std::make_shared<server_session>(
-                    std::move(socket), thread.pool(), self->handler_,
-                    self->load_)
-                    ->start();
+                self->accepted(thread, ec, std::move(socket));
             }
-            if (!ec)
+        });
+}
+
+void http_server::accepted(
+    traffic_thread& thread, const error_code& ec, tcp::socket socket)
+{
+    if (ec)
+    {
+        pause_.expires_after(accept_pause);
+        pause_.async_wait([weak = weak_from_this()](const error_code& stopped) {
+            const auto self = weak.lock();
+            if (!stopped && self && self->acceptor_.is_open())
             {
                 self->accept_next();
-                return;
             }
-            self->pause_.expires_after(accept_pause);
-            self->pause_.async_wait([self](const error_code& stopped) {
-                if (!stopped && self->acceptor_.is_open())
-                {
-                    self->accept_next();
-                }
-            });
         });
+        return;
+    }
+    if (load_->connections < max_connections_)
+    {
+        std::make_shared<server_session>(
+            std::move(socket), thread.pool(), handler_, load_)
+            ->start();
+    }
+    accept_next();
 }
 
 } // namespace hyssoploft::http
--- a/Libraries/LibHttp/http_server.hpp
+++ b/Libraries/LibHttp/http_server.hpp
@@ -56,6 +56,8 @@
         std::shared_ptr<request_handler> handler);
 
     void accept_next();
+    void
+    accepted(traffic_thread& thread, const error_code& ec, tcp::socket socket);
 
     const std::size_t max_connections_;
     std::vector<std::shared_ptr<traffic_thread>> threads_; // Never empty.
