LibManifest, LibControl: Replicate whole configurations and evacuations

Cause: the users' platform sends a whole configuration under one version and evacuates data centres; the product only knew single resources. A voter that is gone is replaced by a caught-up learner on another VM. Conclusion: the highest version wins in log order, so that no owner besides the log decides.

--- a/Libraries/LibControl/control_messages.hpp
+++ b/Libraries/LibControl/control_messages.hpp
@@ -30,9 +30,12 @@
 
 enum class command_kind : std::uint8_t
 {
-    resources = 1, ///< resource::change_batch
-    ledger = 2,    ///< ledger::command
-    replica = 3    ///< replica_entry
+    resources = 1,  ///< resource::change_batch
+    ledger = 2,     ///< ledger::command
+    replica = 3,    ///< replica_entry
+    manifest = 4,   ///< manifest_command
+    evacuation = 5, ///< evacuation_command
+    barrier = 6     ///< No body: reads the manifest's status in log order.
 };
 
 /// A command as the log carries it.
--- a/Libraries/LibControl/control_state_machine.cpp
+++ b/Libraries/LibControl/control_state_machine.cpp
@@ -33,7 +33,8 @@
     }
 };
 
-struct snapshot_body
+// Snapshots of builds without manifests end here.
+struct ordered_snapshot
 {
     unordered_snapshot unordered;
     std::vector<std::uint64_t> replica_order;
@@ -45,6 +46,18 @@
     }
 };
 
+struct snapshot_body
+{
+    ordered_snapshot ordered;
+    manifest_store manifests;
+
+    template <typename Archive>
+    void serialize(Archive& archive)
+    {
+        archive(ordered, manifests);
+    }
+};
+
 absl::StatusOr<snapshot_body> decode_snapshot(std::string_view bytes)
 {
     auto body = wire::decode<snapshot_body>(bytes);
@@ -52,17 +65,23 @@
     {
         return body;
     }
+    snapshot_body out;
+    auto ordered = wire::decode<ordered_snapshot>(bytes);
+    if (ordered.ok())
+    {
+        out.ordered = *std::move(ordered);
+        return out;
+    }
     auto older = wire::decode<unordered_snapshot>(bytes);
     if (!older.ok())
     {
         return body.status();
     }
-    snapshot_body out;
     for (const auto& [id, vm] : older->replicas)
     {
-        out.replica_order.push_back(id);
+        out.ordered.replica_order.push_back(id);
     }
-    out.unordered = *std::move(older);
+    out.ordered.unordered = *std::move(older);
     return out;
 }
 
@@ -86,6 +105,12 @@
         return ledger_.apply(decoded->body);
     case command_kind::replica:
         return apply_replica(decoded->body);
+    case command_kind::manifest:
+        return manifests_.apply_manifest(decoded->body);
+    case command_kind::evacuation:
+        return manifests_.apply_evacuation(decoded->body);
+    case command_kind::barrier:
+        return wire::encode(manifests_.status());
     }
     LOG(ERROR) << "log_command_unknown index=" << index
                << " kind=" << static_cast<int>(decoded->kind);
@@ -138,8 +163,9 @@
 std::string control_state_machine::take_snapshot()
 {
     return wire::encode(snapshot_body{
-        {resources_.snapshot(), ledger_.snapshot(), replicas_},
-        replica_order_});
+        {{resources_.snapshot(), ledger_.snapshot(), replicas_},
+         replica_order_},
+        manifests_});
 }
 
 absl::Status control_state_machine::install_snapshot(std::string_view bytes)
@@ -154,29 +180,29 @@
     {
         return body.status();
     }
+    auto& unordered = body->ordered.unordered;
+    auto& order = body->ordered.replica_order;
     const bool same_replicas =
-        body->unordered.replicas.size() == body->replica_order.size() &&
-        std::all_of(
-            body->replica_order.begin(), body->replica_order.end(),
-            [&](auto id) {
-                return body->unordered.replicas.contains(id);
-            });
+        unordered.replicas.size() == order.size() &&
+        std::all_of(order.begin(), order.end(), [&](auto id) {
+            return unordered.replicas.contains(id);
+        });
     if (!same_replicas)
     {
         return absl::InvalidArgumentError(
             "the replicas of the snapshot and their order differ");
     }
-    if (auto status = resources_.restore(body->unordered.resources);
-        !status.ok())
+    if (auto status = resources_.restore(unordered.resources); !status.ok())
     {
         return status;
     }
-    if (auto status = ledger_.restore(body->unordered.ledger); !status.ok())
+    if (auto status = ledger_.restore(unordered.ledger); !status.ok())
     {
         return status;
     }
-    replicas_ = std::move(body->unordered.replicas);
-    replica_order_ = std::move(body->replica_order);
+    replicas_ = std::move(unordered.replicas);
+    replica_order_ = std::move(order);
+    manifests_ = std::move(body->manifests);
     return absl::OkStatus();
 }
 
--- a/Libraries/LibControl/control_state_machine.hpp
+++ b/Libraries/LibControl/control_state_machine.hpp
@@ -1,11 +1,12 @@
 #ifndef HYSSOPLOFT_LIBCONTROL_CONTROL_STATE_MACHINE_HPP
 #define HYSSOPLOFT_LIBCONTROL_CONTROL_STATE_MACHINE_HPP
 
-// The state that the log replicates: resources, execution records, and which
-// VM each replica runs on.
+// The state that the log replicates: resources, execution records, the
+// manifest, and which VM each replica runs on.
 
 #include <LibConsensus/log_entry.hpp>
 #include <LibConsensus/replicated_state_machine.hpp>
+#include <LibControl/manifest_store.hpp>
 #include <LibLedger/execution_ledger.hpp>
 #include <LibResource/resource_store.hpp>
 
@@ -32,6 +33,11 @@
         return ledger_;
     }
 
+    const manifest_store& manifests() const
+    {
+        return manifests_;
+    }
+
     /// VM of each recorded replica. Of a VM's earlier replicas the oldest are
     /// forgotten when there are too many.
     const std::map<consensus::replica_id, std::string>& replicas() const
@@ -45,6 +51,7 @@
 
     resource::resource_store resources_;
     ledger::execution_ledger ledger_;
+    manifest_store manifests_;
     std::map<consensus::replica_id, std::string> replicas_;
     std::vector<consensus::replica_id> replica_order_; // Oldest first.
 };
--- /dev/null
+++ b/Libraries/LibControl/manifest_store.cpp
@@ -0,0 +1,106 @@
+// Applies manifests and evacuations, and packs documents with zlib.
+
+#include <LibControl/manifest_store.hpp>
+
+#include <glog/logging.h>
+#include <zlib.h>
+
+#include <utility>
+
+namespace hyssoploft::control {
+
+namespace {
+
+struct packed_document
+{
+    std::uint64_t bytes = 0; // Before compression.
+    std::string deflated;
+
+    template <typename Archive>
+    void serialize(Archive& archive)
+    {
+        archive(bytes, deflated);
+    }
+};
+
+} // namespace
+
+std::string manifest_store::apply_manifest(std::string_view command)
+{
+    auto decoded = wire::decode<manifest_command>(command);
+    if (!decoded.ok())
+    {
+        LOG(ERROR) << "manifest_command_malformed error=\""
+                   << decoded.status().ToString() << "\"";
+    }
+    else if (decoded->version > version_)
+    {
+        version_ = decoded->version;
+        packed_ = std::move(decoded->packed);
+    }
+    return wire::encode(status());
+}
+
+std::string manifest_store::apply_evacuation(std::string_view command)
+{
+    const auto decoded = wire::decode<evacuation_command>(command);
+    if (!decoded.ok())
+    {
+        LOG(ERROR) << "evacuation_command_malformed error=\""
+                   << decoded.status().ToString() << "\"";
+        return wire::encode(status());
+    }
+    const bool changed = decoded->active
+                             ? evacuated_.insert(decoded->data_center).second
+                             : evacuated_.erase(decoded->data_center) > 0;
+    evacuation_revision_ += changed ? 1 : 0;
+    return wire::encode(status());
+}
+
+absl::StatusOr<std::string> pack_document(std::string_view document)
+{
+    if (document.size() > max_document_bytes)
+    {
+        return absl::ResourceExhaustedError("the document is too large");
+    }
+    packed_document out;
+    out.bytes = document.size();
+    auto size = ::compressBound(document.size());
+    out.deflated.resize(size);
+    const int result = ::compress2(
+        reinterpret_cast<Bytef*>(out.deflated.data()), &size,
+        reinterpret_cast<const Bytef*>(document.data()), document.size(),
+        Z_BEST_SPEED);
+    if (result != Z_OK)
+    {
+        return absl::InternalError("the document can't be compressed");
+    }
+    out.deflated.resize(size);
+    return wire::encode(out);
+}
+
+absl::StatusOr<std::string> unpack_document(std::string_view packed)
+{
+    const auto decoded = wire::decode<packed_document>(packed);
+    if (!decoded.ok())
+    {
+        return decoded.status();
+    }
+    if (decoded->bytes > max_document_bytes)
+    {
+        return absl::InvalidArgumentError("the document is too large");
+    }
+    std::string out(decoded->bytes, '\0');
+    auto size = static_cast<uLongf>(out.size());
+    const int result = ::uncompress(
+        reinterpret_cast<Bytef*>(out.data()), &size,
+        reinterpret_cast<const Bytef*>(decoded->deflated.data()),
+        decoded->deflated.size());
+    if (result != Z_OK || size != out.size())
+    {
+        return absl::InvalidArgumentError("the packed document is damaged");
+    }
+    return out;
+}
+
+} // namespace hyssoploft::control
--- /dev/null
+++ b/Libraries/LibControl/manifest_store.hpp
@@ -0,0 +1,112 @@
+#ifndef HYSSOPLOFT_LIBCONTROL_MANIFEST_STORE_HPP
+#define HYSSOPLOFT_LIBCONTROL_MANIFEST_STORE_HPP
+
+// The replicated manifest: the document with the highest version, and the
+// data centres that are evacuated. Deterministic; driven by the log.
+
+#include <LibManifest/manifest.hpp>
+#include <LibWire/serialization.hpp>
+
+#include <cereal/types/set.hpp>
+#include <cereal/types/string.hpp>
+
+#include <absl/status/statusor.h>
+
+#include <cstdint>
+#include <set>
+#include <string>
+#include <string_view>
+
+namespace hyssoploft::control {
+
+/// Puts a document in force if its version is higher than the one held.
+struct manifest_command
+{
+    std::uint64_t version = 0;
+    std::string packed; ///< As pack_document() made it.
+
+    template <typename Archive>
+    void serialize(Archive& archive)
+    {
+        archive(version, packed);
+    }
+};
+
+struct evacuation_command
+{
+    std::string data_center;
+    bool active = false;
+
+    template <typename Archive>
+    void serialize(Archive& archive)
+    {
+        archive(data_center, active);
+    }
+};
+
+/// What a command found after it was applied.
+struct manifest_status
+{
+    std::uint64_t version = 0;             ///< 0: none yet.
+    std::uint64_t evacuation_revision = 0; ///< Changes so far.
+
+    bool operator==(const manifest_status&) const = default;
+
+    template <typename Archive>
+    void serialize(Archive& archive)
+    {
+        archive(version, evacuation_revision);
+    }
+};
+
+class manifest_store
+{
+public:
+    /// Both return an encoded manifest_status; a command that can't be read
+    /// changes nothing.
+    std::string apply_manifest(std::string_view command);
+    std::string apply_evacuation(std::string_view command);
+
+    manifest_status status() const
+    {
+        return {version_, evacuation_revision_};
+    }
+
+    /// The packed document in force; empty before the first one.
+    const std::string& packed() const
+    {
+        return packed_;
+    }
+
+    const std::set<std::string>& evacuated() const
+    {
+        return evacuated_;
+    }
+
+    template <typename Archive>
+    void serialize(Archive& archive)
+    {
+        archive(version_, packed_, evacuation_revision_, evacuated_);
+    }
+
+private:
+    std::uint64_t version_ = 0; // Never decreases.
+    std::string packed_;
+    std::uint64_t evacuation_revision_ = 0;
+    std::set<std::string> evacuated_;
+};
+
+/// Largest document that unpack_document() accepts, in bytes: the limit on
+/// request bodies.
+inline constexpr std::size_t max_document_bytes = std::size_t{4} << 20;
+
+/// Compresses a document, which must fit in one log entry and one frame.
+/// RESOURCE_EXHAUSTED above max_document_bytes.
+absl::StatusOr<std::string> pack_document(std::string_view document);
+
+/// INVALID_ARGUMENT if the bytes are no packed document.
+absl::StatusOr<std::string> unpack_document(std::string_view packed);
+
+} // namespace hyssoploft::control
+
+#endif
--- a/Libraries/LibControl/replica_driver.cpp
+++ b/Libraries/LibControl/replica_driver.cpp
@@ -19,7 +19,8 @@
 /// Entries between two snapshots. At 60 orders a second this is about a
 /// minute's worth, and a replay takes well below a second.
 constexpr std::uint64_t entries_per_snapshot = 8192;
-constexpr std::chrono::milliseconds member_check_interval{500};
+/// A replacement takes about five checks.
+constexpr std::chrono::milliseconds member_check_interval{200};
 /// Records of orders expire by log time; this is its grain without traffic.
 constexpr std::chrono::seconds log_tick_interval{30};
 constexpr std::size_t max_pending_proposals = 8192;
@@ -44,7 +45,7 @@
     const bool has_history = found.base.has_value();
     const replica_hello self{
         options.vm, found.self, has_history, options.initial_voters};
-    it->roster_ = replica_roster(self, clock.now());
+    it->roster_ = replica_roster(self, clock.now(), options.limits);
     if (has_history)
     {
         const auto status = it->state_.install_snapshot(*found.base->bytes);
@@ -211,6 +212,7 @@
             }
             applied_index_ = out.install->last.index;
             environment_.resources_changed();
+            environment_.manifest_changed();
         }
         if (out.persist)
         {
@@ -266,11 +268,16 @@
     if (entry.kind == entry_kind::command)
     {
         const auto before = state_.resources().version();
+        const auto manifest = state_.manifests().status();
         result = state_.apply(entry.position.index, entry.bytes);
         if (state_.resources().version() != before)
         {
             environment_.resources_changed();
         }
+        if (state_.manifests().status() != manifest)
+        {
+            environment_.manifest_changed();
+        }
     }
     applied_index_ = entry.position.index;
     // The first entry of this replica's term: everything before it is applied.
--- a/Libraries/LibControl/replica_driver.hpp
+++ b/Libraries/LibControl/replica_driver.hpp
@@ -30,6 +30,7 @@
     std::string vm;
     std::string data_dir;
     std::vector<std::string> initial_voters; ///< VMs of a new cluster.
+    roster_limits limits{};
 };
 
 /// What the driver needs of its owner.
@@ -44,6 +45,9 @@
     /// A committed entry changed the resources.
     virtual void resources_changed() = 0;
 
+    /// A committed entry changed the manifest or the evacuations.
+    virtual void manifest_changed() {}
+
     virtual void role_changed(bool leader, std::uint64_t term) = 0;
 
     /// The disk failed: the process has to end.
--- a/Libraries/LibControl/replica_roster.cpp
+++ b/Libraries/LibControl/replica_roster.cpp
@@ -13,8 +13,9 @@
 
 } // namespace
 
-replica_roster::replica_roster(replica_hello self, core::time_point now)
-    : self_(std::move(self))
+replica_roster::replica_roster(
+    replica_hello self, core::time_point now, roster_limits limits)
+    : self_(std::move(self)), limits_(limits), started_(now)
 {
     std::sort(self_.initial_voters.begin(), self_.initial_voters.end());
     by_vm_[self_.vm] = {self_, now};
@@ -125,6 +126,47 @@
         });
 }
 
+bool replica_roster::is_gone(
+    consensus::replica_id voter,
+    const std::map<consensus::replica_id, std::string>& recorded,
+    core::time_point now) const
+{
+    if (limits_.gone_after <= core::duration() || voter == self_.replica)
+    {
+        return false;
+    }
+    const auto vm = vm_of(voter, recorded);
+    const auto found = by_vm_.find(vm);
+    const auto heard = found == by_vm_.end() ? started_ : found->second.at;
+    return now - heard > limits_.gone_after;
+}
+
+std::optional<consensus::replica_id> replica_roster::gone_voter_to_replace(
+    const consensus::membership& members,
+    const std::map<consensus::replica_id, std::string>& recorded,
+    const std::function<bool(consensus::replica_id)>& is_caught_up,
+    core::time_point now) const
+{
+    const bool successor = std::any_of(
+        members.learners.begin(), members.learners.end(), [&](auto id) {
+            const auto vm = vm_of(id, recorded);
+            return !vm.empty() && !is_gone(id, recorded, now) &&
+                   !replaces_a_voter(vm, members, recorded) && is_caught_up(id);
+        });
+    if (!successor || members.voters.size() < limits_.max_voters)
+    {
+        return std::nullopt;
+    }
+    for (const auto voter : members.voters)
+    {
+        if (is_gone(voter, recorded, now))
+        {
+            return voter;
+        }
+    }
+    return std::nullopt;
+}
+
 std::optional<consensus::membership_change> replica_roster::next_change(
     const consensus::membership& members,
     const std::map<consensus::replica_id, std::string>& recorded,
@@ -142,6 +184,14 @@
             }
         }
     }
+    // The voter that is gone leaves before its successor votes, so that the
+    // quorum does not grow while a voter is missing.
+    if (const auto gone =
+            gone_voter_to_replace(members, recorded, is_caught_up, now))
+    {
+        return consensus::membership_change{
+            membership_change_kind::remove, *gone};
+    }
     for (const auto& [vm, it] : by_vm_)
     {
         const auto id = it.hello.replica;
@@ -161,8 +211,8 @@
                 membership_change_kind::add_learner, id};
         }
         // One more voter than the maximum is allowed while one is replaced.
-        const bool room = members.voters.size() < max_voters ||
-                          (members.voters.size() == max_voters &&
+        const bool room = members.voters.size() < limits_.max_voters ||
+                          (members.voters.size() == limits_.max_voters &&
                            replaces_a_voter(vm, members, recorded));
         if (room && is_caught_up(id))
         {
--- a/Libraries/LibControl/replica_roster.hpp
+++ b/Libraries/LibControl/replica_roster.hpp
@@ -17,11 +17,20 @@
 
 namespace hyssoploft::control {
 
+struct roster_limits
+{
+    std::size_t max_voters = 7;
+    /// A voter that was silent so long is removed once a caught-up learner on
+    /// another VM can take its place; 0: never.
+    core::duration gone_after{};
+};
+
 class replica_roster
 {
 public:
     /// `self` introduces this VM's own replica.
-    replica_roster(replica_hello self, core::time_point now);
+    replica_roster(
+        replica_hello self, core::time_point now, roster_limits limits = {});
 
     void set_has_history(bool has_history);
 
@@ -59,7 +68,6 @@
         const std::function<bool(consensus::replica_id)>& is_caught_up,
         core::time_point now) const;
 
-    static constexpr std::size_t max_voters = 7;
     static constexpr std::chrono::seconds hello_lifetime{5};
 
 private:
@@ -70,6 +78,15 @@
     };
 
     bool is_fresh(const heard_hello& it, core::time_point now) const;
+    bool is_gone(
+        consensus::replica_id voter,
+        const std::map<consensus::replica_id, std::string>& recorded,
+        core::time_point now) const;
+    std::optional<consensus::replica_id> gone_voter_to_replace(
+        const consensus::membership& members,
+        const std::map<consensus::replica_id, std::string>& recorded,
+        const std::function<bool(consensus::replica_id)>& is_caught_up,
+        core::time_point now) const;
     bool is_replaced(
         consensus::replica_id old, const consensus::membership& members,
         const std::map<consensus::replica_id, std::string>& recorded,
@@ -79,6 +96,8 @@
         const std::map<consensus::replica_id, std::string>& recorded) const;
 
     replica_hello self_;
+    roster_limits limits_;
+    core::time_point started_;
     std::map<std::string, heard_hello> by_vm_; // This VM included.
 };
 
--- /dev/null
+++ b/Libraries/LibManifest/manifest_rules.cpp
@@ -0,0 +1,115 @@
+// Checks a manifest and reports all findings together.
+
+#include <LibManifest/manifest_rules.hpp>
+
+#include <LibCore/findings.hpp>
+#include <LibCore/text.hpp>
+
+#include <cmath>
+#include <map>
+#include <utility>
+
+namespace hyssoploft::manifest {
+
+namespace {
+
+void check_route(
+    const traffic_route& it, const std::string& at,
+    const std::set<std::string>& roles, core::findings& out)
+{
+    if (it.host.empty())
+    {
+        out.add({"", 0, at + ".host"}, "is empty");
+    }
+    const bool slashes = !it.path_prefix.empty() &&
+                         it.path_prefix.front() == '/' &&
+                         it.path_prefix.back() == '/';
+    if (!slashes)
+    {
+        out.add({"", 0, at + ".path_prefix"}, "must begin and end with \"/\"");
+    }
+    if (it.timeout <= core::duration())
+    {
+        out.add({"", 0, at + ".timeout"}, "must be greater than 0");
+    }
+    double weights = 0;
+    bool sound = true;
+    for (const auto& target : it.roles)
+    {
+        if (!roles.contains(target.role))
+        {
+            out.add(
+                {"", 0, at + ".roles"},
+                core::concat("names the unknown role \"", target.role, "\""));
+        }
+        sound &= std::isfinite(target.weight) && target.weight >= 0;
+        weights += target.weight;
+    }
+    if (!sound || !(weights > 0))
+    {
+        out.add({"", 0, at + ".roles"}, "weights must add up to more than 0");
+    }
+}
+
+void check_keys(const manifest& it, core::findings& out)
+{
+    std::map<std::string, std::string> owners;
+    for (std::size_t n = 0; n < it.accounts.size(); ++n)
+    {
+        const auto& account = it.accounts[n];
+        for (const auto& key : account.keys)
+        {
+            const auto [found, added] = owners.emplace(key, account.name);
+            if (!added && found->second != account.name)
+            {
+                // The key itself must not reach a log or an answer.
+                out.add(
+                    {"", 0, core::concat("accounts[", n, "].keys")},
+                    core::concat(
+                        "shares a key with account \"", found->second, "\""));
+            }
+        }
+    }
+}
+
+} // namespace
+
+absl::Status check_manifest(const manifest& it)
+{
+    core::findings out;
+    std::set<std::string> roles;
+    for (std::size_t n = 0; n < it.roles.size(); ++n)
+    {
+        if (!roles.insert(it.roles[n].name).second)
+        {
+            out.add(
+                {"", 0, core::concat("upstream_roles[", n, "]")},
+                "has the name of another role");
+        }
+    }
+    std::set<std::pair<std::string, std::string>> taken;
+    for (std::size_t n = 0; n < it.routes.size(); ++n)
+    {
+        const auto at = core::concat("routes[", n, "]");
+        check_route(it.routes[n], at, roles, out);
+        if (!taken.emplace(it.routes[n].host, it.routes[n].path_prefix).second)
+        {
+            out.add(
+                {"", 0, at}, "has the host and path prefix of another route");
+        }
+    }
+    std::set<std::string> accounts;
+    for (std::size_t n = 0; n < it.accounts.size(); ++n)
+    {
+        if (!accounts.insert(it.accounts[n].name).second)
+        {
+            out.add(
+                {"", 0, core::concat("accounts[", n, "]")},
+                "has the name of another account");
+        }
+    }
+    check_keys(it, out);
+    return out.to_status();
+}
+
+} // namespace hyssoploft::manifest
--- /dev/null
+++ b/Libraries/LibManifest/route_table.cpp
@@ -0,0 +1,83 @@
+// Builds the lookups of a manifest.
+
+#include <LibManifest/route_table.hpp>
+
+#include <algorithm>
+#include <cctype>
+#include <utility>
+
+namespace hyssoploft::manifest {
+
+namespace {
+
+// Host names compare without regard to case and to the port.
+std::string normal_host(std::string_view host)
+{
+    std::string out(host.substr(0, host.find(':')));
+    std::transform(out.begin(), out.end(), out.begin(), [](unsigned char c) {
+        return static_cast<char>(std::tolower(c));
+    });
+    return out;
+}
+
+} // namespace
+
+route_table::route_table(manifest from) : source_(std::move(from))
+{
+    for (const auto& it : source_.routes)
+    {
+        routes_[normal_host(it.host)].emplace(it.path_prefix, &it);
+    }
+    for (const auto& it : source_.accounts)
+    {
+        for (const auto& key : it.keys)
+        {
+            accounts_.emplace(key, &it);
+        }
+    }
+    for (const auto& it : source_.roles)
+    {
+        roles_.emplace(it.name, &it);
+    }
+}
+
+const traffic_route*
+route_table::find_route(std::string_view host, std::string_view target) const
+{
+    const auto found = routes_.find(normal_host(host));
+    if (found == routes_.end())
+    {
+        return nullptr;
+    }
+    // A prefix ends with a slash, so that only the path's own slashes count.
+    std::string prefix(target.substr(0, target.find_first_of("?#")));
+    for (;;)
+    {
+        const auto slash = prefix.rfind('/');
+        if (slash == std::string::npos)
+        {
+            return nullptr;
+        }
+        prefix.resize(slash + 1);
+        const auto route = found->second.find(prefix);
+        if (route != found->second.end())
+        {
+            return route->second;
+        }
+        prefix.resize(slash);
+    }
+}
+
+const client_account* route_table::find_account(const std::string& key) const
+{
+    const auto found = accounts_.find(key);
+    return found == accounts_.end() ? nullptr : found->second;
+}
+
+const upstream_role* route_table::find_role(const std::string& name) const
+{
+    const auto found = roles_.find(name);
+    return found == roles_.end() ? nullptr : found->second;
+}
+
+} // namespace hyssoploft::manifest
--- /dev/null
+++ b/Libraries/LibManifest/route_table.hpp
@@ -0,0 +1,55 @@
+#ifndef HYSSOPLOFT_LIBMANIFEST_ROUTE_TABLE_HPP
+#define HYSSOPLOFT_LIBMANIFEST_ROUTE_TABLE_HPP
+
+// The lookups of one manifest: routes by host and path, accounts by key, roles
+// by name. Immutable, so that traffic threads share it without locks.
+
+#include <LibManifest/manifest.hpp>
+
+#include <memory>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+
+namespace hyssoploft::manifest {
+
+class route_table
+{
+public:
+    explicit route_table(manifest from);
+    route_table(const route_table&) = delete;
+    route_table& operator=(const route_table&) = delete;
+
+    const manifest& source() const
+    {
+        return source_;
+    }
+
+    std::uint64_t version() const
+    {
+        return source_.version;
+    }
+
+    /// The route of `host` with the longest prefix of `target`'s path. `host`
+    /// may carry a port; null if no route matches.
+    const traffic_route*
+    find_route(std::string_view host, std::string_view target) const;
+
+    /// Null for an unknown key.
+    const client_account* find_account(const std::string& key) const;
+
+    /// Null for an unknown role.
+    const upstream_role* find_role(const std::string& name) const;
+
+private:
+    manifest source_; // Never changes: the maps point into it.
+    std::unordered_map<
+        std::string, std::unordered_map<std::string, const traffic_route*>>
+        routes_; // By host and prefix.
+    std::unordered_map<std::string, const client_account*> accounts_;
+    std::unordered_map<std::string, const upstream_role*> roles_;
+};
+
+} // namespace hyssoploft::manifest
+
+#endif
