LibFleet, LibRate, LibControl: Discover VMs through seeds, lease shares

Cause: the platform declares neither VMs nor upstreams, and its bounds (3 s to take a drain or a configuration up) are below what gossip rounds guarantee. Change: each VM exchanges its state with every control VM directly; views of several control VMs are merged. Each control VM owns an equal part of every rate and leases it by demand, so that no election interrupts the grants. Ruled out: SWIM rounds (1 s period, several rounds); a single grantor on the leader (6 s without grants after an election). Conclusion: news reach each VM within one exchange of 400 ms.

--- /dev/null
+++ b/Libraries/LibControl/fleet_control.cpp
@@ -0,0 +1,291 @@
+// Start, ticks and messages of the control thread.
+
+#include <LibControl/fleet_control.hpp>
+
+#include <LibCore/log_line.hpp>
+#include <LibCore/text.hpp>
+#include <LibWire/asio_transport.hpp>
+
+#include <boost/asio/post.hpp>
+#include <glog/logging.h>
+
+#include <utility>
+
+namespace hyssoploft::control {
+
+namespace {
+
+using wire::message_type;
+
+/// Half of the consensus node's heartbeat, so that ticks delay nothing by
+/// more than that; entry VMs need less.
+constexpr std::chrono::milliseconds control_tick{50};
+constexpr std::chrono::milliseconds entry_tick{100};
+/// Replicas introduce themselves so often; a replacement waits for one.
+constexpr std::chrono::milliseconds hello_interval{500};
+/// A voter is silent so long before a successor takes its place: five
+/// introductions, and less than the time after which the fleet may lose the
+/// next disks.
+constexpr std::chrono::milliseconds voter_gone_after{2500};
+/// A connection that gets no acknowledgement is replaced.
+constexpr std::chrono::milliseconds handshake_timeout{1000};
+constexpr std::chrono::milliseconds max_reconnect_pause{500};
+
+} // namespace
+
+absl::StatusOr<std::shared_ptr<fleet_control>> fleet_control::create(
+    const fleet_options& options,
+    std::shared_ptr<const manifest::manifest_codec> codec,
+    std::shared_ptr<core::clock> clock,
+    std::shared_ptr<core::random_source> random, telemetry::metrics&)
+{
+    std::shared_ptr<fleet_control> it(new fleet_control(
+        options, std::move(codec), std::move(clock), std::move(random)));
+    const auto status = it->open();
+    if (!status.ok())
+    {
+        return status;
+    }
+    return it;
+}
+
+fleet_control::fleet_control(
+    const fleet_options& options,
+    std::shared_ptr<const manifest::manifest_codec> codec,
+    std::shared_ptr<core::clock> clock,
+    std::shared_ptr<core::random_source> random)
+    : options_(options), codec_(std::move(codec)), clock_(std::move(clock)),
+      random_(std::move(random)),
+      holder_(std::make_shared<rate::share_holder>()), seeds_(options.seeds),
+      fleet_(std::make_shared<membership::fleet_view>())
+{
+    fleet_->self = options_.vm;
+}
+
+absl::Status fleet_control::open()
+{
+    wire::transport_options transport;
+    transport.self = options_.vm;
+    transport.incarnation = options_.incarnation;
+    transport.listen_address = options_.peer_address;
+    transport.keys = options_.keys;
+    transport.limits.handshake = handshake_timeout;
+    transport.limits.max_backoff = max_reconnect_pause;
+    auto opened = wire::create_asio_transport(io_, transport);
+    if (!opened.ok())
+    {
+        return opened.status();
+    }
+    transport_ = *std::move(opened);
+    transport_->set_handler([this](const wire::incoming_message& it) {
+        on_message(it);
+    });
+    started_ = clock_->now();
+    epoch_ = random_->next() | 1U;
+    if (!options_.data_dir.empty())
+    {
+        replica_options replica;
+        replica.vm = options_.vm;
+        replica.data_dir = options_.data_dir;
+        replica.limits.max_voters = options_.max_voters;
+        replica.limits.gone_after = voter_gone_after;
+        if (options_.first_start)
+        {
+            replica.initial_voters = options_.seeds;
+        }
+        auto created =
+            replica_driver::create(io_, replica, *this, *clock_, *random_);
+        if (!created.ok())
+        {
+            return created.status();
+        }
+        replica_ = *std::move(created);
+        allocator_ = std::make_unique<rate::share_allocator>(
+            started_, options_.first_start);
+    }
+    proposals_ = std::make_unique<proposal_client>(
+        *transport_, *this, replica_.get(), *clock_);
+    if (replica_)
+    {
+        manifest_changed();
+    }
+    rebuild_view();
+    publish();
+    return absl::OkStatus();
+}
+
+fleet_control::~fleet_control()
+{
+    io_.stop();
+    if (thread_.joinable())
+    {
+        thread_.join();
+    }
+    if (transport_)
+    {
+        transport_->close();
+    }
+}
+
+void fleet_control::start()
+{
+    boost::asio::post(io_, [this] {
+        tick();
+        schedule_tick();
+    });
+    thread_ = std::thread([this] {
+        io_.run();
+    });
+}
+
+void fleet_control::schedule_tick()
+{
+    tick_timer_.expires_after(replica_ ? control_tick : entry_tick);
+    tick_timer_.async_wait([this](const boost::system::error_code& ec) {
+        if (!ec)
+        {
+            tick();
+            schedule_tick();
+        }
+    });
+}
+
+void fleet_control::tick()
+{
+    const auto now = clock_->now();
+    if (replica_)
+    {
+        replica_->tick();
+        vms_.hear(own_row(), now);
+        vms_.tick(now);
+        upstreams_.tick(now);
+        if (now >= next_hello_)
+        {
+            next_hello_ = now + hello_interval;
+            send_hello();
+        }
+    }
+    proposals_->tick();
+    sync_peers();
+    if (now >= next_build_ || changed_)
+    {
+        next_build_ = now + std::chrono::milliseconds(500);
+        rebuild_view();
+        publish();
+    }
+}
+
+void fleet_control::on_message(const wire::incoming_message& it)
+{
+    switch (it.type)
+    {
+    case message_type::consensus:
+        if (replica_)
+        {
+            replica_->on_message(it.sender, it.payload);
+        }
+        return;
+    case message_type::replica_hello: {
+        const auto hello = wire::decode<replica_hello>(it.payload);
+        if (replica_ && hello.ok() && hello->vm == it.sender)
+        {
+            replica_->on_hello(*hello);
+        }
+        return;
+    }
+    case message_type::propose:
+        on_propose(it);
+        return;
+    case message_type::fleet_sync:
+        serve_sync(it);
+        return;
+    case message_type::fleet_notice:
+        on_notice(it);
+        return;
+    default:
+        return;
+    }
+}
+
+void fleet_control::on_propose(const wire::incoming_message& it)
+{
+    const auto command = wire::decode<log_command>(it.payload);
+    const auto answer = [this, reply = it.reply](const propose_result& out) {
+        (void)transport_->respond(
+            reply, message_type::propose_result, wire::encode(out));
+    };
+    if (!replica_ || !command.ok())
+    {
+        answer(
+            {static_cast<std::uint8_t>(propose_status::not_leader),
+             proposals_->leader_vm(), ""});
+        return;
+    }
+    replica_->propose(
+        static_cast<command_kind>(command->kind), command->body, answer);
+}
+
+void fleet_control::send_hello()
+{
+    const auto payload = wire::encode(replica_->hello());
+    for (const auto& vm : control_vms())
+    {
+        (void)transport_->send(
+            peer_address_of(vm), message_type::replica_hello, payload);
+    }
+}
+
+void fleet_control::send_consensus(
+    const std::string& vm, const std::string& bytes)
+{
+    (void)transport_->send(peer_address_of(vm), message_type::consensus, bytes);
+}
+
+void fleet_control::manifest_changed()
+{
+    const auto& store = replica_->state().manifests();
+    install_manifest(store.status().version, store.packed());
+    install_evacuations(store.status().evacuation_revision, store.evacuated());
+    notify_all(false);
+}
+
+void fleet_control::role_changed(bool, std::uint64_t) {}
+
+void fleet_control::storage_failed(const absl::Status& status)
+{
+    LOG(ERROR)
+        << core::log_line("storage_failed").with("error", status.ToString());
+    failed_ = true;
+}
+
+std::shared_ptr<const membership::fleet_view> fleet_control::fleet_now()
+{
+    return fleet_;
+}
+
+void fleet_control::set_seeds(std::vector<std::string> seeds)
+{
+    boost::asio::post(io_, [this, seeds = std::move(seeds)]() mutable {
+        seeds_ = std::move(seeds);
+    });
+}
+
+void fleet_control::begin_leaving()
+{
+    leaving_ = true;
+    ready_ = false;
+    boost::asio::post(io_, [this] {
+        if (replica_)
+        {
+            replica_->hand_over();
+        }
+        // The news reaches every control VM without waiting for its turn.
+        for (auto& [vm, it] : peers_)
+        {
+            it.next = {};
+        }
+        sync_peers();
+    });
+}
+
+} // namespace hyssoploft::control
--- /dev/null
+++ b/Libraries/LibControl/fleet_control_calls.cpp
@@ -0,0 +1,183 @@
+// Calls of operators and upstreams.
+
+#include <LibControl/fleet_control.hpp>
+
+#include <LibCore/log_line.hpp>
+#include <LibManifest/manifest_rules.hpp>
+
+#include <boost/asio/post.hpp>
+#include <glog/logging.h>
+
+#include <utility>
+
+namespace hyssoploft::control {
+
+namespace {
+
+/// An election and a commit over two links between regions; operators ask
+/// again elsewhere meanwhile.
+constexpr std::chrono::seconds propose_timeout{4};
+/// Shorter than operators wait for an answer.
+constexpr std::chrono::milliseconds read_timeout{900};
+constexpr std::chrono::milliseconds apply_poll{20};
+
+absl::Status status_of(const absl::StatusOr<std::string>& result)
+{
+    return result.ok() ? absl::OkStatus() : result.status();
+}
+
+} // namespace
+
+void fleet_control::put_manifest(std::string document, status_handler done)
+{
+    // Checked on the caller's thread: a large document takes milliseconds.
+    auto decoded = codec_->decode(document);
+    auto status =
+        decoded.ok() ? manifest::check_manifest(*decoded) : decoded.status();
+    auto packed = pack_document(document);
+    if (status.ok() && !packed.ok())
+    {
+        status = absl::InvalidArgumentError(packed.status().message());
+    }
+    if (!status.ok())
+    {
+        LOG(WARNING) << core::log_line("manifest_refused")
+                            .with("error", status.ToString());
+        boost::asio::post(io_, [done = std::move(done), status] {
+            done(status);
+        });
+        return;
+    }
+    boost::asio::post(
+        io_, [this, version = decoded->version, packed = *std::move(packed),
+              done = std::move(done)]() mutable {
+            propose_manifest(version, std::move(packed), std::move(done));
+        });
+}
+
+void fleet_control::propose_manifest(
+    std::uint64_t version, std::string packed, status_handler done)
+{
+    if (replica_ && version <= replica_->state().manifests().status().version)
+    {
+        LOG(INFO) << core::log_line("manifest_overtaken")
+                         .with("version", version)
+                         .with("in_force", manifest_version_);
+        done(absl::OkStatus());
+        return;
+    }
+    proposals_->propose(
+        command_kind::manifest,
+        wire::encode(manifest_command{version, std::move(packed)}),
+        propose_timeout,
+        [version,
+         done = std::move(done)](const absl::StatusOr<std::string>& result) {
+            LOG(INFO) << core::log_line("manifest_proposed")
+                             .with("version", version)
+                             .with("outcome", status_of(result).ToString());
+            done(status_of(result));
+        });
+}
+
+void fleet_control::read_manifest(document_handler done)
+{
+    boost::asio::post(io_, [this, done = std::move(done)]() mutable {
+        const auto until = clock_->now() + read_timeout;
+        proposals_->propose(
+            command_kind::barrier, {}, read_timeout,
+            [this, until, done = std::move(done)](
+                const absl::StatusOr<std::string>& result) {
+                const auto wanted = result.ok()
+                                        ? wire::decode<manifest_status>(*result)
+                                        : result.status();
+                if (!wanted.ok())
+                {
+                    done(absl::UnavailableError(
+                        "the newest manifest is not known"));
+                    return;
+                }
+                finish_read(*wanted, until, done);
+            });
+    });
+}
+
+void fleet_control::finish_read(
+    const manifest_status& wanted, core::time_point until,
+    document_handler done)
+{
+    if (wanted.version == 0)
+    {
+        done(absl::NotFoundError("there is no manifest yet"));
+        return;
+    }
+    if (manifest_version_ >= wanted.version)
+    {
+        done(unpack_document(packed_));
+        return;
+    }
+    if (clock_->now() >= until)
+    {
+        done(absl::UnavailableError("this VM has not applied the manifest"));
+        return;
+    }
+    auto timer = std::make_shared<boost::asio::steady_timer>(io_, apply_poll);
+    timer->async_wait([this, wanted, until, done = std::move(done),
+                       timer](const boost::system::error_code& ec) {
+        if (!ec)
+        {
+            finish_read(wanted, until, done);
+        }
+    });
+}
+
+void fleet_control::set_evacuation(
+    std::string data_center, bool active, status_handler done)
+{
+    boost::asio::post(
+        io_, [this, data_center = std::move(data_center), active,
+              done = std::move(done)] {
+            proposals_->propose(
+                command_kind::evacuation,
+                wire::encode(evacuation_command{data_center, active}),
+                propose_timeout,
+                [data_center, active,
+                 done](const absl::StatusOr<std::string>& result) {
+                    LOG(INFO)
+                        << core::log_line("evacuation_proposed")
+                               .with("data_center", data_center)
+                               .with("active", active ? 1 : 0)
+                               .with("outcome", status_of(result).ToString());
+                    done(status_of(result));
+                });
+        });
+}
+
+void fleet_control::announce(fleet::upstream_row row)
+{
+    boost::asio::post(io_, [this, row = std::move(row)] {
+        const auto change = upstreams_.announce(row, clock_->now());
+        if (change == fleet::upstream_table::change::none)
+        {
+            return;
+        }
+        changed_ = true;
+        notify_all(true);
+    });
+}
+
+void fleet_control::leave(std::string upstream)
+{
+    boost::asio::post(io_, [this, upstream = std::move(upstream)] {
+        if (upstreams_.leave(upstream, clock_->now()) ==
+            fleet::upstream_table::change::none)
+        {
+            return;
+        }
+        LOG(INFO)
+            << core::log_line("upstream_leaves").with("upstream", upstream);
+        changed_ = true;
+        notify_all(true);
+    });
+}
+
+} // namespace hyssoploft::control
--- /dev/null
+++ b/Libraries/LibControl/fleet_control_sync.cpp
@@ -0,0 +1,305 @@
+// The exchange of state between VMs and control VMs.
+
+#include <LibControl/fleet_control.hpp>
+
+#include <LibCore/log_line.hpp>
+#include <LibCore/text.hpp>
+
+#include <glog/logging.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace hyssoploft::control {
+
+namespace {
+
+using wire::message_type;
+
+/// News reach every VM within this time and a round trip, well within the
+/// shortest bound on taking changes up, 3 s.
+constexpr std::chrono::milliseconds sync_interval{400};
+/// Longer than a round trip between regions and a wait for the processor.
+constexpr std::chrono::milliseconds sync_timeout{900};
+/// Pause before asking a control VM again that did not answer.
+constexpr std::chrono::milliseconds sync_retry{300};
+/// What upstreams announce reaches a restarted control VM in two periods.
+constexpr std::chrono::seconds settle_time{4};
+/// Announcements that are passed on between control VMs.
+constexpr std::chrono::seconds heard_window{2};
+/// After a change of the voters, grants of both divisions are in force.
+constexpr std::chrono::seconds voter_count_memory{10};
+
+struct fleet_notice
+{
+    std::uint64_t manifest_version = 0;
+    std::uint64_t evacuation_revision = 0;
+    bool upstreams = false; ///< An upstream leaves.
+
+    template <typename Archive>
+    void serialize(Archive& archive)
+    {
+        archive(manifest_version, evacuation_revision, upstreams);
+    }
+};
+
+} // namespace
+
+fleet::vm_row fleet_control::own_row() const
+{
+    fleet::vm_row out;
+    out.id = options_.vm;
+    out.region = options_.region;
+    out.data_center = options_.data_center;
+    out.entry_address = options_.entry_address;
+    out.relay_address = options_.relay_address;
+    out.control_address = options_.control_address;
+    out.peer_address = options_.peer_address;
+    out.incarnation = options_.incarnation;
+    out.state = static_cast<std::uint8_t>(
+        leaving_ ? membership::vm_state::leaving : membership::vm_state::alive);
+    out.control = replica_ != nullptr;
+    out.ready = ready_ && !leaving_;
+    return out;
+}
+
+std::set<std::string> fleet_control::control_vms() const
+{
+    std::set<std::string> out(seeds_.begin(), seeds_.end());
+    for (const auto& [id, it] : fleet_->vms)
+    {
+        if (it.control)
+        {
+            out.insert(id);
+        }
+    }
+    out.erase(options_.vm);
+    return out;
+}
+
+std::string fleet_control::peer_address_of(const std::string& vm) const
+{
+    const auto found = fleet_->vms.find(vm);
+    if (found != fleet_->vms.end() && !found->second.peer_address.empty())
+    {
+        return found->second.peer_address;
+    }
+    // A VM is named by its IP address, and all use the same peer port.
+    const auto& own = options_.peer_address;
+    return vm + own.substr(own.rfind(':'));
+}
+
+void fleet_control::sync_peers()
+{
+    const auto now = clock_->now();
+    const auto wanted = control_vms();
+    std::erase_if(peers_, [&](const auto& it) {
+        return !wanted.contains(it.first) && !it.second.pending;
+    });
+    for (const auto& vm : wanted)
+    {
+        const auto& it = peers_[vm];
+        if (!it.pending && now >= it.next)
+        {
+            sync_with(vm);
+        }
+    }
+}
+
+fleet::sync_request fleet_control::make_request(const std::string& vm)
+{
+    fleet::sync_request out;
+    out.self = own_row();
+    const auto at = merger_.position_at(vm);
+    out.epoch = at.epoch;
+    out.cursor = at.cursor;
+    out.manifest_version = manifest_version_;
+    out.evacuation_revision = evacuation_revision_;
+    if (!options_.entry_address.empty())
+    {
+        out.shares = holder_->build_request(vm, clock_->now());
+        const std::lock_guard lock(published_mutex_);
+        out.loads = own_loads_;
+    }
+    return out;
+}
+
+void fleet_control::sync_with(const std::string& vm)
+{
+    auto& peer = peers_[vm];
+    if (peer.pending)
+    {
+        peer.again = true;
+        return;
+    }
+    peer.pending = true;
+    peer.again = false;
+    peer.next = clock_->now() + sync_interval;
+    transport_->request(
+        peer_address_of(vm), message_type::fleet_sync,
+        wire::encode(make_request(vm)), sync_timeout,
+        [this, vm](absl::StatusOr<wire::incoming_message> answer) {
+            auto& it = peers_[vm];
+            it.pending = false;
+            const auto decoded =
+                answer.ok() ? wire::decode<fleet::sync_answer>(answer->payload)
+                            : answer.status();
+            if (!decoded.ok())
+            {
+                it.next = clock_->now() + sync_retry;
+                return;
+            }
+            on_answer(vm, *decoded);
+            if (it.again)
+            {
+                sync_with(vm);
+            }
+        });
+}
+
+void fleet_control::on_answer(
+    const std::string& vm, const fleet::sync_answer& it)
+{
+    const auto now = clock_->now();
+    const bool news = it.whole || !it.vms.empty() || !it.upstreams.empty() ||
+                      !it.forgotten.empty();
+    merger_.apply(vm, it, now);
+    changed_ |= news;
+    if (replica_)
+    {
+        for (const auto& row : it.upstreams)
+        {
+            (void)upstreams_.merge(row, now);
+        }
+        for (const auto& row : it.heard)
+        {
+            upstreams_.merge_heard(row, now);
+        }
+    }
+    if (it.manifest_version > manifest_version_ && !it.manifest.empty())
+    {
+        install_manifest(it.manifest_version, it.manifest);
+    }
+    install_evacuations(it.evacuation_revision, it.evacuated);
+    if (!options_.entry_address.empty() && it.shares.sequence != 0)
+    {
+        (void)holder_->apply(vm, it.shares, now);
+    }
+    if (changed_)
+    {
+        rebuild_view();
+        publish();
+    }
+}
+
+fleet::sync_answer
+fleet_control::make_answer(const fleet::sync_request& it, core::time_point now)
+{
+    fleet::sync_answer out;
+    const bool known = it.epoch == epoch_;
+    const auto cursor = known ? it.cursor : 0;
+    out.epoch = epoch_;
+    out.cursor = changes_;
+    out.settled = now - started_ >= settle_time;
+    out.whole = !known;
+    out.vms = vms_.changed_since(cursor);
+    out.upstreams = upstreams_.changed_since(cursor, now);
+    out.forgotten =
+        known ? upstreams_.forgotten_since(cursor) : std::vector<std::string>();
+    if (it.self.control)
+    {
+        out.heard = upstreams_.heard_within(heard_window, now);
+    }
+    out.manifest_version = manifest_version_;
+    if (manifest_version_ > it.manifest_version && !it.self.control)
+    {
+        out.manifest = packed_;
+    }
+    out.evacuation_revision = evacuation_revision_;
+    if (evacuation_revision_ > it.evacuation_revision)
+    {
+        out.evacuated = evacuated_;
+    }
+    out.loads = loads_.others(it.self.id, now);
+    return out;
+}
+
+void fleet_control::serve_sync(const wire::incoming_message& it)
+{
+    const auto request = wire::decode<fleet::sync_request>(it.payload);
+    if (!replica_ || !request.ok() || request->self.id != it.sender)
+    {
+        return;
+    }
+    const auto now = clock_->now();
+    if (vms_.hear(request->self, now))
+    {
+        changed_ = true;
+        LOG(INFO) << core::log_line("vm_reported")
+                         .with("vm", request->self.id)
+                         .with("region", request->self.region)
+                         .with("control", request->self.control ? 1 : 0)
+                         .with("ready", request->self.ready ? 1 : 0)
+                         .with("state", request->self.state);
+    }
+    auto answer = make_answer(*request, now);
+    if (!request->self.entry_address.empty())
+    {
+        loads_.report(request->self.id, request->loads, now);
+        // Each voter owns one part of every rate. While the number of voters
+        // changes, the larger number of the last seconds divides the rates.
+        const auto& members = replica_->node().members();
+        voter_counts_[now] = static_cast<std::uint32_t>(members.voters.size());
+        std::erase_if(voter_counts_, [now](const auto& counted) {
+            return now - counted.first > voter_count_memory;
+        });
+        std::uint32_t grantors = 0;
+        for (const auto& [at, n] : voter_counts_)
+        {
+            grantors = std::max(grantors, n);
+        }
+        if (members.is_voter(replica_->node().self()))
+        {
+            answer.shares = allocator_->handle(
+                request->self.id, request->self.incarnation, request->shares,
+                grantors, now);
+        }
+    }
+    (void)transport_->respond(
+        it.reply, message_type::fleet_sync_answer, wire::encode(answer));
+}
+
+void fleet_control::notify_all(bool upstreams)
+{
+    const auto payload = wire::encode(
+        fleet_notice{manifest_version_, evacuation_revision_, upstreams});
+    for (const auto& [id, it] : vms_.entries())
+    {
+        const bool reachable = id != options_.vm &&
+                               it.row.state != static_cast<std::uint8_t>(
+                                                   membership::vm_state::dead);
+        if (reachable)
+        {
+            (void)transport_->send(
+                it.row.peer_address, message_type::fleet_notice, payload);
+        }
+    }
+}
+
+void fleet_control::on_notice(const wire::incoming_message& it)
+{
+    const auto notice = wire::decode<fleet_notice>(it.payload);
+    if (!notice.ok())
+    {
+        return;
+    }
+    const bool news = notice->upstreams ||
+                      notice->manifest_version > manifest_version_ ||
+                      notice->evacuation_revision > evacuation_revision_;
+    if (news)
+    {
+        sync_with(it.sender);
+    }
+}
+
+} // namespace hyssoploft::control
--- /dev/null
+++ b/Libraries/LibControl/fleet_control_view.cpp
@@ -0,0 +1,198 @@
+// What the control thread publishes for traffic threads.
+
+#include <LibControl/fleet_control.hpp>
+
+#include <LibCore/log_line.hpp>
+
+#include <glog/logging.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace hyssoploft::control {
+
+namespace {
+
+/// A VM that is cut off uses its part of fleet-wide budgets for longer than
+/// any cut is expected to last.
+constexpr std::chrono::seconds entry_vm_memory{60};
+
+} // namespace
+
+void fleet_control::rebuild_view()
+{
+    const auto now = clock_->now();
+    if (replica_)
+    {
+        fleet::sync_request own;
+        own.self = own_row();
+        const auto at = merger_.position_at(options_.vm);
+        own.epoch = at.epoch;
+        own.cursor = at.cursor;
+        own.manifest_version = manifest_version_;
+        merger_.apply(options_.vm, make_answer(own, now), now);
+    }
+    auto view = std::make_shared<membership::fleet_view>();
+    view->self = options_.vm;
+    merger_.build(*view, now);
+    for (const auto& [id, it] : view->upstreams)
+    {
+        const auto old = fleet_->upstreams.find(id);
+        const bool known = old != fleet_->upstreams.end();
+        if (!known || old->second.state != it.state ||
+            old->second.incarnation != it.incarnation ||
+            old->second.silent != it.silent)
+        {
+            LOG(INFO) << core::log_line("upstream_changed")
+                             .with("upstream", id)
+                             .with("address", it.address)
+                             .with("role", it.role)
+                             .with("data_center", it.data_center)
+                             .with("incarnation", it.incarnation)
+                             .with(
+                                 "state", core::name_of(
+                                              membership::upstream_state_names,
+                                              it.state))
+                             .with("silent", it.silent ? 1 : 0);
+        }
+    }
+    for (const auto& [id, it] : view->vms)
+    {
+        const auto old = fleet_->vms.find(id);
+        if (old == fleet_->vms.end() || old->second.state != it.state)
+        {
+            LOG(INFO) << core::log_line("vm_changed")
+                             .with("vm", id)
+                             .with("region", it.region)
+                             .with(
+                                 "state",
+                                 core::name_of(
+                                     membership::vm_state_names, it.state));
+        }
+    }
+    fleet_ = std::move(view);
+    count_entry_vms(now);
+    changed_ = true;
+}
+
+void fleet_control::count_entry_vms(core::time_point now)
+{
+    for (const auto& [id, it] : fleet_->vms)
+    {
+        if (it.entry && it.state != membership::vm_state::dead)
+        {
+            entry_vms_[id] = now;
+        }
+    }
+    std::erase_if(entry_vms_, [now](const auto& it) {
+        return now - it.second > entry_vm_memory;
+    });
+}
+
+void fleet_control::publish()
+{
+    const auto now = clock_->now();
+    auto out = std::make_shared<fleet::traffic_view>();
+    out->fleet = fleet_;
+    out->routes = routes_;
+    out->evacuated = evacuated_;
+    for (const auto& it : merger_.loads())
+    {
+        out->loads[it.upstream] = {it.running, it.waiting_tokens};
+    }
+    out->built = now;
+    out->entry_vms = std::max<std::uint32_t>(
+        1, static_cast<std::uint32_t>(entry_vms_.size()));
+    std::uint32_t here = 0;
+    for (const auto& [id, it] : fleet_->vms)
+    {
+        here += entry_vms_.contains(id) && it.region == options_.region ? 1 : 0;
+    }
+    out->region_entry_vms = std::max<std::uint32_t>(1, here);
+    out->control_vms_heard = merger_.fresh_sources(now);
+    changed_ = false;
+    const std::lock_guard lock(published_mutex_);
+    published_ = std::move(out);
+}
+
+std::shared_ptr<const fleet::traffic_view> fleet_control::view() const
+{
+    const std::lock_guard lock(published_mutex_);
+    return published_;
+}
+
+void fleet_control::set_loads(std::vector<fleet::load_row> loads)
+{
+    const std::lock_guard lock(published_mutex_);
+    own_loads_ = std::move(loads);
+}
+
+void fleet_control::install_manifest(
+    std::uint64_t version, const std::string& packed)
+{
+    if (version <= manifest_version_)
+    {
+        return;
+    }
+    if (!options_.entry_address.empty())
+    {
+        const auto document = unpack_document(packed);
+        auto decoded =
+            document.ok() ? codec_->decode(*document) : document.status();
+        if (!decoded.ok())
+        {
+            // It was checked before it was logged: another build wrote it.
+            LOG(ERROR) << core::log_line("manifest_unreadable")
+                              .with("version", version)
+                              .with("error", decoded.status().ToString());
+            return;
+        }
+        decoded->version = version;
+        routes_ =
+            std::make_shared<const manifest::route_table>(*std::move(decoded));
+    }
+    manifest_version_ = version;
+    packed_ = packed;
+    install_rates();
+    changed_ = true;
+    LOG(INFO) << core::log_line("manifest_in_force").with("version", version);
+    publish();
+}
+
+void fleet_control::install_rates()
+{
+    if (!routes_)
+    {
+        return;
+    }
+    std::map<std::string, rate::account_rate> rates;
+    for (const auto& it : routes_->source().accounts)
+    {
+        if (it.tokens_per_second > 0)
+        {
+            rates[it.name] = {it.tokens_per_second, it.burst_tokens, 0.0};
+        }
+    }
+    const auto vms = std::max<std::size_t>(1, entry_vms_.size());
+    holder_->install(
+        rates, options_.extra_burst_tokens / static_cast<double>(vms),
+        clock_->now());
+}
+
+void fleet_control::install_evacuations(
+    std::uint64_t revision, const std::set<std::string>& evacuated)
+{
+    if (revision <= evacuation_revision_)
+    {
+        return;
+    }
+    evacuation_revision_ = revision;
+    evacuated_ = evacuated;
+    changed_ = true;
+    LOG(INFO) << core::log_line("evacuations_in_force")
+                     .with("revision", revision)
+                     .with("data_centers", evacuated.size());
+    publish();
+}
+
+} // namespace hyssoploft::control
--- a/Libraries/LibCore/clock.cpp
+++ b/Libraries/LibCore/clock.cpp
@@ -3,6 +3,7 @@
 #include <LibCore/clock.hpp>
 
 #include <chrono>
+#include <ctime>
 
 namespace hyssoploft::core {
 
@@ -21,4 +22,20 @@
             .count());
 }
 
+time_point suspend_aware_clock::now() const
+{
+    timespec it{};
+    if (::clock_gettime(CLOCK_BOOTTIME, &it) != 0)
+    {
+        return system_clock().now();
+    }
+    return time_point(
+        std::chrono::seconds(it.tv_sec) + std::chrono::nanoseconds(it.tv_nsec));
+}
+
+std::uint64_t suspend_aware_clock::unix_nanoseconds() const
+{
+    return system_clock().unix_nanoseconds();
+}
+
 } // namespace hyssoploft::core
--- a/Libraries/LibCore/clock.hpp
+++ b/Libraries/LibCore/clock.hpp
@@ -29,6 +29,15 @@
     std::uint64_t unix_nanoseconds() const override;
 };
 
+/// Like system_clock, but now() also advances while the VM is suspended, so
+/// that a lease ends in a suspended VM as it does elsewhere.
+class suspend_aware_clock final : public clock
+{
+public:
+    time_point now() const override;
+    std::uint64_t unix_nanoseconds() const override;
+};
+
 } // namespace hyssoploft::core
 
 #endif
--- /dev/null
+++ b/Libraries/LibFleet/view_merger.cpp
@@ -0,0 +1,179 @@
+// Merges rows of several control VMs.
+
+#include <LibFleet/view_merger.hpp>
+
+#include <algorithm>
+#include <tuple>
+
+namespace hyssoploft::fleet {
+
+namespace {
+
+using membership::upstream_record;
+using membership::upstream_state;
+using membership::vm_record;
+using membership::vm_state;
+
+vm_record to_record(const vm_row& it)
+{
+    vm_record out;
+    out.id = it.id;
+    out.region = it.region;
+    out.data_center = it.data_center;
+    out.http_address = it.entry_address;
+    out.peer_address = it.peer_address;
+    out.relay_address = it.relay_address;
+    out.control_address = it.control_address;
+    out.incarnation = it.incarnation;
+    out.state = static_cast<vm_state>(it.state);
+    out.control = it.control;
+    out.entry = !it.entry_address.empty();
+    out.ready = it.ready;
+    return out;
+}
+
+upstream_record to_record(const upstream_row& it)
+{
+    upstream_record out;
+    out.id = it.id;
+    out.address = it.address;
+    out.role = it.role;
+    out.region = it.region;
+    out.data_center = it.data_center;
+    out.version = it.version;
+    out.capacity = it.capacity;
+    out.incarnation = it.incarnation;
+    out.sequence = it.sequence;
+    out.state = static_cast<upstream_state>(it.state);
+    out.silent = it.silent;
+    return out;
+}
+
+// The better of two descriptions of one VM: the newest process, and of that
+// one the live state.
+bool is_better(const vm_record& a, const vm_record& b)
+{
+    const bool a_dead = a.state == vm_state::dead;
+    const bool b_dead = b.state == vm_state::dead;
+    if (a_dead != b_dead)
+    {
+        return !a_dead;
+    }
+    return a.incarnation > b.incarnation;
+}
+
+} // namespace
+
+view_merger::position
+view_merger::position_at(const std::string& control_vm) const
+{
+    const auto found = sources_.find(control_vm);
+    return found == sources_.end() ? position() : found->second.at;
+}
+
+void view_merger::apply(
+    const std::string& control_vm, const sync_answer& it, core::time_point now)
+{
+    auto& own = sources_[control_vm];
+    if (it.whole)
+    {
+        own.vms.clear();
+        own.upstreams.clear();
+    }
+    own.at = {it.epoch, it.cursor};
+    own.settled = it.settled;
+    own.heard = now;
+    for (const auto& row : it.vms)
+    {
+        own.vms[row.id] = row;
+    }
+    for (const auto& row : it.upstreams)
+    {
+        own.upstreams[row.id] = {
+            row, now + std::chrono::milliseconds(row.cold_ms)};
+    }
+    for (const auto& id : it.forgotten)
+    {
+        own.upstreams.erase(id);
+    }
+    loads_ = it.loads;
+    std::erase_if(sources_, [now](const auto& other) {
+        return now - other.second.heard > std::chrono::seconds(60);
+    });
+}
+
+std::size_t view_merger::fresh_sources(core::time_point now) const
+{
+    return static_cast<std::size_t>(
+        std::count_if(sources_.begin(), sources_.end(), [&](const auto& it) {
+            return is_fresh(it.second, now);
+        }));
+}
+
+void view_merger::build(membership::fleet_view& view, core::time_point now)
+{
+    std::map<std::string, vm_record> vms;
+    std::map<std::string, upstream_record> upstreams;
+    bool settled = false;
+    for (const auto& [name, from] : sources_)
+    {
+        if (!is_fresh(from, now))
+        {
+            continue;
+        }
+        settled |= from.settled;
+        for (const auto& [id, row] : from.vms)
+        {
+            auto record = to_record(row);
+            const auto [found, added] = vms.try_emplace(id, record);
+            if (!added && is_better(record, found->second))
+            {
+                found->second = std::move(record);
+            }
+        }
+        for (const auto& [id, it] : from.upstreams)
+        {
+            auto record = to_record(it.row);
+            record.cold_until = it.cold_until;
+            const auto [found, added] = upstreams.try_emplace(id, record);
+            if (added)
+            {
+                continue;
+            }
+            auto& known = found->second;
+            const bool silent = known.silent && record.silent;
+            const auto old = std::tie(known.incarnation, known.sequence);
+            const auto news = std::tie(record.incarnation, record.sequence);
+            // A leave has no sequence of its own.
+            const auto state = known.incarnation == record.incarnation
+                                   ? std::max(known.state, record.state)
+                                   : upstream_state::serving;
+            const bool same = known.incarnation == record.incarnation;
+            if (news > old)
+            {
+                known = std::move(record);
+            }
+            known.silent = silent;
+            known.state = same ? state : known.state;
+        }
+    }
+    // Without a control VM that has run for some time, what is missing is not
+    // known to be gone.
+    if (!settled)
+    {
+        for (const auto& [id, it] : vms_)
+        {
+            vms.try_emplace(id, it);
+        }
+        for (const auto& [id, it] : upstreams_)
+        {
+            upstreams.try_emplace(id, it);
+        }
+    }
+    vms_ = vms;
+    upstreams_ = upstreams;
+    view.vms = std::move(vms);
+    view.upstreams = std::move(upstreams);
+}
+
+} // namespace hyssoploft::fleet
--- a/Libraries/LibMembership/fleet_view.hpp
+++ b/Libraries/LibMembership/fleet_view.hpp
@@ -39,8 +39,12 @@
     vm_state state = vm_state::alive;
     std::uint64_t config_version = 0; ///< In force at that VM.
     bool overloaded = false;
-    bool control = false;  ///< Holds a replica of the log.
-    bool isolated = false; ///< It hears from no peer of its region.
+    bool control = false;        ///< Holds a replica of the log.
+    bool isolated = false;       ///< It hears from no peer of its region.
+    std::string relay_address;   ///< "IP:port" for calls of other VMs.
+    std::string control_address; ///< "IP:port" for upstreams and operators.
+    bool entry = false;          ///< Takes requests of callers.
+    bool ready = false;          ///< Takes new ones now.
 };
 
 enum class upstream_state : std::uint8_t
@@ -90,6 +94,9 @@
     std::uint64_t sequence = 0; ///< Newest (incarnation, sequence) wins.
     upstream_state state = upstream_state::serving;
     load_report load;
+    core::time_point cold_until{}; ///< Takes few requests before, on this VM's
+                                   ///< clock.
+    bool silent = false;           ///< No renewal arrived for some time.
 };
 
 /// Load of one region's serving upstreams, as other regions see it.
--- /dev/null
+++ b/Libraries/LibRate/share_allocator.hpp
@@ -0,0 +1,79 @@
+#ifndef HYSSOPLOFT_LIBRATE_SHARE_ALLOCATOR_HPP
+#define HYSSOPLOFT_LIBRATE_SHARE_ALLOCATOR_HPP
+
+// Divides one control VM's part of every account's rate between the VMs that
+// ask, by their demand. Each control VM owns an equal part, so that no
+// election interrupts the grants and a region that is cut off keeps the parts
+// of its own control VMs.
+//
+// Invariant: for each account the parts that holders may have in force add up
+// to 1 at most. A part counts until its lease has ended here, or until the
+// holder reports a later grant.
+
+#include <LibCore/time.hpp>
+#include <LibRate/share_messages.hpp>
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <string>
+#include <utility>
+
+namespace hyssoploft::rate {
+
+class share_allocator
+{
+public:
+    /// Grants of an earlier process can be in force until a lease time after
+    /// `started`; until then each VM only keeps what it holds. `fresh` says
+    /// that there was no earlier process.
+    share_allocator(core::time_point started, bool fresh);
+
+    /// The answer to a request of `vm`; requests that are not newer than the
+    /// last one get an empty grant, which the holder ignores.
+    share_grant handle(
+        const std::string& vm, std::uint64_t incarnation,
+        const share_request& request, std::uint32_t grantors,
+        core::time_point now);
+
+    /// Part that may be in force at any VM, for tests and metrics.
+    double outstanding(const std::string& account, core::time_point now) const;
+
+private:
+    struct sent_part
+    {
+        std::uint64_t sequence = 0;
+        core::time_point end{};
+        double part = 0;
+    };
+
+    struct vm_account
+    {
+        double demand = 0;           // Tokens per second.
+        std::deque<sent_part> parts; // Oldest first.
+    };
+
+    struct vm_state
+    {
+        std::uint64_t sequence = 0;
+        core::time_point heard{};
+        std::map<std::string, vm_account> accounts;
+    };
+
+    static double counted(const vm_account& it, core::time_point now);
+    void take_request(
+        vm_state& it, const share_request& request, core::time_point now);
+    double target(const vm_state& own, const std::string& account) const;
+    double free_for(
+        const vm_state& own, const std::string& account,
+        core::time_point now) const;
+    void forget_silent(core::time_point now);
+
+    const core::time_point grants_from_;
+    // By VM and incarnation of its process.
+    std::map<std::pair<std::string, std::uint64_t>, vm_state> vms_;
+};
+
+} // namespace hyssoploft::rate
+
+#endif
--- /dev/null
+++ b/Libraries/LibRate/share_holder.cpp
@@ -0,0 +1,192 @@
+// Combines the leases of several grantors into one bucket for each account.
+
+#include <LibRate/share_holder.hpp>
+
+#include <algorithm>
+#include <cmath>
+
+namespace hyssoploft::rate {
+
+namespace {
+
+/// A rise of demand counts within two measurements; a fall slowly, since a
+/// share given up too early comes back without credit.
+constexpr double rise_weight = 0.6;
+constexpr double fall_seconds = 4.0;
+constexpr core::duration measure_interval = std::chrono::milliseconds(300);
+/// Shown to a caller whose request no credit of this VM can cover now.
+constexpr core::duration retry_after_renewal = std::chrono::seconds(1);
+
+} // namespace
+
+void share_holder::install(
+    const std::map<std::string, account_rate>& rates, double extra_burst,
+    core::time_point now)
+{
+    const std::lock_guard lock(mutex_);
+    extra_burst_ = extra_burst;
+    std::erase_if(accounts_, [&](const auto& it) {
+        return !rates.contains(it.first);
+    });
+    for (const auto& [name, declared] : rates)
+    {
+        auto& it = accounts_.try_emplace(name, now).first->second;
+        it.bucket.advance(now);
+        it.declared = declared;
+        configure(name, it, now);
+    }
+}
+
+double
+share_holder::share_of(const std::string& account, core::time_point now) const
+{
+    double out = 0;
+    for (const auto& [name, it] : grantors_)
+    {
+        const auto found = it.parts.find(account);
+        if (now < it.end && found != it.parts.end())
+        {
+            out += it.weight * found->second;
+        }
+    }
+    return std::min(1.0, out);
+}
+
+void share_holder::configure(
+    const std::string& name, account_state& it, core::time_point now)
+{
+    const double part = share_of(name, now);
+    // The clock may be 1% fast; accrual must not exceed the rate in true time.
+    it.bucket.configure(
+        part * it.declared.tokens_per_second / clock_drift,
+        part * it.declared.burst_tokens + (part > 0 ? extra_burst_ : 0.0));
+}
+
+void share_holder::measure_demand(core::time_point now)
+{
+    if (now - measured_ < measure_interval)
+    {
+        return;
+    }
+    const double seconds =
+        std::clamp(core::to_seconds(now - measured_), 1e-3, fall_seconds);
+    measured_ = now;
+    for (auto& [name, it] : accounts_)
+    {
+        const double observed = it.asked / seconds;
+        it.asked = 0;
+        if (observed >= it.demand)
+        {
+            it.demand += rise_weight * (observed - it.demand);
+        }
+        else
+        {
+            const double keep = std::exp(-seconds / fall_seconds);
+            it.demand = observed + keep * (it.demand - observed);
+        }
+    }
+}
+
+share_request
+share_holder::build_request(const std::string& grantor, core::time_point now)
+{
+    const std::lock_guard lock(mutex_);
+    measure_demand(now);
+    auto& own = grantors_[grantor];
+    share_request out;
+    out.sequence = ++own.sequence;
+    out.applied = own.applied;
+    own.sent[out.sequence] = now;
+    std::erase_if(own.sent, [now](const auto& it) {
+        return now - it.second > lease_time;
+    });
+    const bool in_force = now < own.end;
+    for (const auto& [name, it] : accounts_)
+    {
+        const auto held = own.parts.find(name);
+        out.demands.push_back(
+            {name, static_cast<float>(it.demand),
+             in_force && held != own.parts.end()
+                 ? static_cast<float>(held->second)
+                 : 0.0F});
+    }
+    return out;
+}
+
+bool share_holder::apply(
+    const std::string& grantor, const share_grant& grant, core::time_point now)
+{
+    const std::lock_guard lock(mutex_);
+    auto& own = grantors_[grantor];
+    const auto sent = own.sent.find(grant.sequence);
+    const bool usable = sent != own.sent.end() && grant.grantors > 0 &&
+                        grant.sequence > own.applied;
+    if (!usable)
+    {
+        return false;
+    }
+    for (auto& [name, it] : accounts_)
+    {
+        it.bucket.advance(now);
+    }
+    own.applied = grant.sequence;
+    own.end = sent->second + lease_time;
+    own.weight = 1.0 / grant.grantors;
+    own.parts.clear();
+    for (const auto& it : grant.shares)
+    {
+        own.parts[it.account] = it.part;
+    }
+    for (auto& [name, it] : accounts_)
+    {
+        configure(name, it, now);
+    }
+    return true;
+}
+
+reserve_result share_holder::reserve(
+    const std::string& account, double tokens, core::time_point now)
+{
+    const std::lock_guard lock(mutex_);
+    reserve_result out;
+    const auto found = accounts_.find(account);
+    if (found == accounts_.end())
+    {
+        out.retry_after = retry_after_renewal;
+        return out;
+    }
+    auto& it = found->second;
+    it.asked += tokens;
+    it.bucket.advance(now);
+    configure(account, it, now);
+    if (it.bucket.take(tokens))
+    {
+        out.granted = true;
+        out.taken = {account, tokens, it.bucket.epoch()};
+        return out;
+    }
+    out.retry_after = std::min<core::duration>(
+        it.bucket.wait_for(tokens), retry_after_renewal);
+    return out;
+}
+
+void share_holder::settle(
+    const reservation& taken, double used_tokens, core::time_point now)
+{
+    const std::lock_guard lock(mutex_);
+    const auto found = accounts_.find(taken.account);
+    if (found == accounts_.end())
+    {
+        return;
+    }
+    found->second.bucket.advance(now);
+    found->second.bucket.give_back(taken.epoch, taken.tokens - used_tokens);
+}
+
+double share_holder::share(const std::string& account, core::time_point now)
+{
+    const std::lock_guard lock(mutex_);
+    return share_of(account, now);
+}
+
+} // namespace hyssoploft::rate
--- /dev/null
+++ b/Libraries/LibRate/share_holder.hpp
@@ -0,0 +1,85 @@
+#ifndef HYSSOPLOFT_LIBRATE_SHARE_HOLDER_HPP
+#define HYSSOPLOFT_LIBRATE_SHARE_HOLDER_HPP
+
+// Credit of all accounts at one VM, from the shares that several grantors
+// leased to it. Thread safe: traffic threads reserve, the control thread
+// exchanges shares.
+
+#include <LibRate/declared_rates.hpp>
+#include <LibRate/rate_limiter.hpp>
+#include <LibRate/share_messages.hpp>
+#include <LibRate/token_bucket.hpp>
+
+#include <cstdint>
+#include <map>
+#include <mutex>
+#include <string>
+
+namespace hyssoploft::rate {
+
+class share_holder final : public rate_limiter
+{
+public:
+    /// Puts declared rates in force; an account without a rate is not limited
+    /// here and must not be reserved for. `extra_burst` is credit that each
+    /// account may hold at this VM besides its share of the burst, in tokens.
+    void install(
+        const std::map<std::string, account_rate>& rates, double extra_burst,
+        core::time_point now);
+
+    /// The request for one grantor; a lease that answers it starts now.
+    share_request
+    build_request(const std::string& grantor, core::time_point now);
+
+    /// Puts a grant in force. False if it answers no recent request, or is
+    /// not newer than the one in force.
+    bool apply(
+        const std::string& grantor, const share_grant& grant,
+        core::time_point now);
+
+    reserve_result reserve(
+        const std::string& account, double tokens,
+        core::time_point now) override;
+    void settle(
+        const reservation& taken, double used_tokens,
+        core::time_point now) override;
+
+    /// For metrics and tests; 0 for an unknown account.
+    double share(const std::string& account, core::time_point now);
+
+private:
+    struct account_state
+    {
+        explicit account_state(core::time_point now) : bucket(now) {}
+
+        account_rate declared;
+        token_bucket bucket;
+        double asked = 0;  // Tokens since the last measurement.
+        double demand = 0; // Tokens per second, smoothed.
+    };
+
+    struct grantor_state
+    {
+        std::uint64_t sequence = 0;                     // Of the last request.
+        std::map<std::uint64_t, core::time_point> sent; // Recent requests.
+        std::uint64_t applied = 0;
+        core::time_point end{}; // Of the lease in force.
+        double weight = 0;      // One part of the grantors.
+        std::map<std::string, double> parts;
+    };
+
+    void measure_demand(core::time_point now);
+    double share_of(const std::string& account, core::time_point now) const;
+    void
+    configure(const std::string& name, account_state& it, core::time_point now);
+
+    std::mutex mutex_; // Guards everything below.
+    std::map<std::string, account_state> accounts_;
+    std::map<std::string, grantor_state> grantors_;
+    double extra_burst_ = 0;
+    core::time_point measured_{};
+};
+
+} // namespace hyssoploft::rate
+
+#endif
--- a/Libraries/LibWire/message_type.hpp
+++ b/Libraries/LibWire/message_type.hpp
@@ -29,10 +29,13 @@
     answer_result = 16,
     in_force_report = 17,
     drain = 18,
-    replica_hello = 19
+    replica_hello = 19,
+    fleet_sync = 20,
+    fleet_sync_answer = 21,
+    fleet_notice = 22
 };
 
-inline constexpr core::enum_table<message_type, 19> message_type_names{
+inline constexpr core::enum_table<message_type, 22> message_type_names{
     {{message_type::hello, "hello"},
      {message_type::ping, "ping"},
      {message_type::ack, "ack"},
@@ -51,7 +54,10 @@
      {message_type::answer_result, "answer_result"},
      {message_type::in_force_report, "in_force_report"},
      {message_type::drain, "drain"},
-     {message_type::replica_hello, "replica_hello"}}};
+     {message_type::replica_hello, "replica_hello"},
+     {message_type::fleet_sync, "fleet_sync"},
+     {message_type::fleet_sync_answer, "fleet_sync_answer"},
+     {message_type::fleet_notice, "fleet_notice"}}};
 
 } // namespace hyssoploft::wire
 
--- a/Libraries/LibWire/peer_connection.cpp
+++ b/Libraries/LibWire/peer_connection.cpp
@@ -3,6 +3,7 @@
 #include <LibWire/peer_connection.hpp>
 
 #include <LibCore/random_source.hpp>
+#include <LibCore/socket_options.hpp>
 #include <LibCore/text.hpp>
 
 #include <boost/asio/read.hpp>
@@ -16,6 +17,10 @@
 
 constexpr std::size_t nonce_words = 2;
 constexpr std::size_t nonce_bytes = nonce_words * sizeof(std::uint64_t);
+/// VMs exchange messages several times a second, so that a connection without
+/// acknowledgements is broken. Longer than an acknowledgement between regions
+/// and two losses of it.
+constexpr std::chrono::milliseconds silence_timeout{1500};
 // Until the peer has proved that it holds a fleet key, it gets little memory.
 constexpr std::size_t max_hello_bytes =
     frame_overhead(max_sender_bytes) + nonce_bytes;
@@ -86,6 +91,7 @@
 {
     boost::system::error_code ec;
     socket_.set_option(tcp::no_delay(true), ec);
+    core::set_silence_timeout(socket_.native_handle(), silence_timeout);
     const auto remote = socket_.remote_endpoint(ec);
     if (ec)
     {
