LibRelay, platform: Relay calls on the users' platform

Cause: the platform's callers and upstreams speak headers and streams of their own; the product's gateway serves its own interface only.

--- a/Libraries/LibHttp/connection_pool.cpp
+++ b/Libraries/LibHttp/connection_pool.cpp
@@ -2,6 +2,7 @@
 
 #include <LibHttp/connection_pool.hpp>
 
+#include <LibCore/socket_options.hpp>
 #include <LibCore/text.hpp>
 
 #include <boost/asio/redirect_error.hpp>
@@ -15,6 +16,10 @@
 
 namespace {
 
+/// An upstream or VM that acknowledges nothing for this time is down or cut
+/// off. Longer than an acknowledgement between regions and two losses of it.
+constexpr std::chrono::milliseconds silence_timeout{1500};
+
 // A peer that closed the connection, or sent bytes that nobody asked for,
 // makes an idle socket readable.
 bool is_quiet(beast::tcp_stream& stream)
@@ -68,7 +73,7 @@
     {
         auto it = std::move(list.back());
         list.pop_back();
-        if (now - it->idle_since < max_idle && is_quiet(it->stream))
+        if (now - it->idle_since < it->idle_limit && is_quiet(it->stream))
         {
             it->reused = true;
             return it;
@@ -107,11 +112,15 @@
             core::concat("connect to ", address, ": ", ec.message()));
     }
     it->stream.socket().set_option(tcp::no_delay(true), ec);
+    core::set_silence_timeout(
+        it->stream.socket().native_handle(), silence_timeout);
     co_return it;
 }
 
-void connection_pool::release(std::unique_ptr<connection> it)
+void connection_pool::release(
+    std::unique_ptr<connection> it, std::chrono::nanoseconds idle_limit)
 {
+    it->idle_limit = std::min<std::chrono::nanoseconds>(idle_limit, max_idle);
     auto& list = idle_[it->address];
     if (list.size() >= max_idle_per_address || it->buffer.size() > 0)
     {
--- a/Libraries/LibHttp/connection_pool.hpp
+++ b/Libraries/LibHttp/connection_pool.hpp
@@ -26,11 +26,15 @@
     std::string address;
     bool reused = false; ///< It has carried a call before.
     std::chrono::steady_clock::time_point idle_since{};
+    std::chrono::nanoseconds idle_limit{}; ///< Until the peer may close it.
 };
 
 class connection_pool
 {
 public:
+    /// Shorter than the keep-alive time of servers that state none.
+    static constexpr std::chrono::seconds max_idle{20};
+
     explicit connection_pool(asio::io_context& context) : context_(context) {}
 
     /// An idle connection to "IP:port", or a new one. `fresh` asks for a new
@@ -40,15 +44,16 @@
     asio::awaitable<absl::StatusOr<std::unique_ptr<connection>>>
     acquire(std::string address, bool fresh, std::chrono::nanoseconds timeout);
 
-    /// Keeps a connection whose last answer was read completely.
-    void release(std::unique_ptr<connection> it);
+    /// Keeps a connection whose last answer was read completely, for
+    /// `idle_limit` at most.
+    void release(
+        std::unique_ptr<connection> it,
+        std::chrono::nanoseconds idle_limit = max_idle);
 
 private:
     std::unique_ptr<connection> take_idle(const std::string& address);
 
     static constexpr std::size_t max_idle_per_address = 64;
-    /// Shorter than the keep-alive time of the servers that it talks to.
-    static constexpr std::chrono::seconds max_idle{20};
 
     asio::io_context& context_;
     std::map<std::string, std::vector<std::unique_ptr<connection>>> idle_;
--- a/Libraries/LibHttp/exchange.cpp
+++ b/Libraries/LibHttp/exchange.cpp
@@ -40,6 +40,7 @@
 {
     started_ = true;
     answer.version(message_.version());
+    keep_alive_ = keep_alive();
     answer.keep_alive(keep_alive_);
     answer.prepare_payload();
     stream_.expires_after(write_timeout);
@@ -54,6 +55,7 @@
 {
     started_ = true;
     head.version(message_.version());
+    keep_alive_ = keep_alive();
     head.keep_alive(keep_alive_);
     head.chunked(true);
     stream_.expires_after(write_timeout);
--- a/Libraries/LibHttp/exchange.hpp
+++ b/Libraries/LibHttp/exchange.hpp
@@ -8,6 +8,7 @@
 
 #include <absl/status/status.h>
 
+#include <atomic>
 #include <functional>
 #include <memory>
 #include <string>
@@ -71,7 +72,14 @@
 
     bool keep_alive() const
     {
-        return keep_alive_;
+        return keep_alive_ && !(draining_ && *draining_);
+    }
+
+    /// While this is set, answers say that the connection closes. The flag
+    /// outlives the exchange.
+    void close_while(const std::atomic<bool>& draining)
+    {
+        draining_ = &draining;
     }
 
     bool answer_started() const
@@ -97,6 +105,7 @@
     request message_;
     asio::ip::address remote_;
     std::function<void()> gone_handler_;
+    const std::atomic<bool>* draining_ = nullptr;
     bool keep_alive_;
     bool started_ = false; // Bytes of an answer were sent.
     bool gone_ = false;
--- a/Libraries/LibHttp/http_client.cpp
+++ b/Libraries/LibHttp/http_client.cpp
@@ -12,6 +12,7 @@
 
 #include <algorithm>
 #include <array>
+#include <charconv>
 #include <utility>
 
 namespace hyssoploft::http {
@@ -23,6 +24,31 @@
 // accept within this time is taken as down.
 constexpr std::chrono::nanoseconds connect_timeout = std::chrono::seconds(2);
 
+/// The peer closes an idle connection at the time that it states; a request
+/// that is on its way then is lost.
+constexpr std::chrono::milliseconds keep_alive_margin{500};
+
+// How long the connection may be kept, by "Keep-Alive: timeout=SECONDS".
+std::chrono::nanoseconds idle_limit(const bhttp::response_header<>& head)
+{
+    constexpr std::string_view name = "timeout=";
+    const auto text = header_value(head, "keep-alive");
+    const auto at = text.find(name);
+    int seconds = 0;
+    const char* begin = at == std::string_view::npos
+                            ? text.data() + text.size()
+                            : text.data() + at + name.size();
+    const auto parsed =
+        std::from_chars(begin, text.data() + text.size(), seconds);
+    if (parsed.ec != std::errc())
+    {
+        return connection_pool::max_idle;
+    }
+    return std::max<std::chrono::nanoseconds>(
+        std::chrono::nanoseconds(0),
+        std::chrono::seconds(seconds) - keep_alive_margin);
+}
+
 } // namespace
 
 asio::awaitable<absl::Status> http_call::start(
@@ -31,7 +57,11 @@
 {
     const auto began = std::chrono::steady_clock::now();
     message.version(11);
-    message.set(bhttp::field::host, address);
+    // A call that is passed on keeps the host that its caller named.
+    if (message.find(bhttp::field::host) == message.end())
+    {
+        message.set(bhttp::field::host, address);
+    }
     message.keep_alive(true);
     message.prepare_payload();
     auto acquired = co_await pool_.acquire(
@@ -46,6 +76,7 @@
         co_return acquired.status();
     }
     connection_ = *std::move(acquired);
+    reused_ = connection_->reused;
     stage_ = call_stage::sending;
     auto& stream = connection_->stream;
     stream.expires_after(timeout - (std::chrono::steady_clock::now() - began));
@@ -58,11 +89,17 @@
         co_return to_status(ec);
     }
     stage_ = call_stage::waiting;
+    co_return co_await read_head();
+}
+
+asio::awaitable<absl::Status> http_call::read_head()
+{
     parser_.emplace();
     parser_->header_limit(max_header_bytes);
     parser_->body_limit(boost::none);
+    error_code ec;
     co_await bhttp::async_read_header(
-        stream, connection_->buffer, *parser_,
+        connection_->stream, connection_->buffer, *parser_,
         asio::redirect_error(asio::use_awaitable, ec));
     if (ec)
     {
@@ -72,8 +109,40 @@
     co_return absl::OkStatus();
 }
 
+asio::awaitable<absl::Status>
+http_call::next_answer(std::chrono::nanoseconds timeout)
+{
+    while (!parser_->is_done())
+    {
+        const auto piece = co_await read_piece(timeout);
+        if (!piece.ok())
+        {
+            co_return piece.status();
+        }
+    }
+    if (!parser_->keep_alive())
+    {
+        co_return absl::UnavailableError(
+            "the connection ended with an answer to another call");
+    }
+    stage_ = call_stage::waiting;
+    connection_->stream.expires_after(timeout);
+    co_return co_await read_head();
+}
+
 asio::awaitable<absl::StatusOr<std::string>>
 http_call::read_some(std::chrono::nanoseconds timeout)
+{
+    auto piece = co_await read_piece(timeout);
+    if (piece.ok() && piece->empty())
+    {
+        finish();
+    }
+    co_return piece;
+}
+
+asio::awaitable<absl::StatusOr<std::string>>
+http_call::read_piece(std::chrono::nanoseconds timeout)
 {
     if (cancelled_)
     {
@@ -99,10 +168,6 @@
         piece.append(buf.data(), buf.size() - body.size);
     }
     bytes_ += piece.size();
-    if (piece.empty())
-    {
-        finish();
-    }
     co_return piece;
 }
 
@@ -171,7 +236,7 @@
     stage_ = call_stage::complete;
     if (connection_ && parser_->keep_alive())
     {
-        pool_.release(std::move(connection_));
+        pool_.release(std::move(connection_), idle_limit(parser_->get()));
     }
     connection_.reset();
 }
--- a/Libraries/LibHttp/http_client.hpp
+++ b/Libraries/LibHttp/http_client.hpp
@@ -49,6 +49,11 @@
         std::string address, request message, bool fresh_connection,
         std::chrono::nanoseconds timeout);
 
+    /// Reads the head of one more answer on the same connection, in place of
+    /// the current one, which belongs to another call. Errors as start();
+    /// UNAVAILABLE if the connection ends with the current answer.
+    asio::awaitable<absl::Status> next_answer(std::chrono::nanoseconds timeout);
+
     /// Head of the answer; valid once start() was OK.
     const bhttp::response_header<>& head() const
     {
@@ -73,6 +78,12 @@
         return stage_;
     }
 
+    /// True if the call went over a connection that had carried another one.
+    bool reused_connection() const
+    {
+        return reused_;
+    }
+
     /// Bytes of the request and of the answer's body.
     std::uint64_t bytes() const
     {
@@ -81,6 +92,9 @@
 
 private:
     absl::Status to_status(const error_code& ec) const;
+    asio::awaitable<absl::Status> read_head();
+    asio::awaitable<absl::StatusOr<std::string>>
+    read_piece(std::chrono::nanoseconds timeout);
     void finish();
 
     connection_pool& pool_;
@@ -88,6 +102,7 @@
     std::optional<bhttp::response_parser<bhttp::buffer_body>> parser_;
     call_stage stage_ = call_stage::connecting;
     bool cancelled_ = false;
+    bool reused_ = false;
     std::uint64_t bytes_ = 0;
 };
 
--- a/Libraries/LibHttp/http_server.cpp
+++ b/Libraries/LibHttp/http_server.cpp
@@ -75,6 +75,11 @@
     });
 }
 
+void http_server::close_kept_connections()
+{
+    load_->draining = true;
+}
+
 void http_server::drain()
 {
     load_->draining = true;
--- a/Libraries/LibHttp/http_server.hpp
+++ b/Libraries/LibHttp/http_server.hpp
@@ -39,6 +39,10 @@
     /// Stops accepting; connections close after their current answer.
     void drain();
 
+    /// Connections close after their next answer; new ones are accepted, for
+    /// callers that have not learned yet that this VM leaves.
+    void close_kept_connections();
+
     std::size_t requests() const
     {
         return load_->requests;
--- a/Libraries/LibHttp/server_session.cpp
+++ b/Libraries/LibHttp/server_session.cpp
@@ -80,7 +80,7 @@
     // Keeps the session alive: the coroutine frame owns this copy.
     const auto self = shared_from_this();
     bool more = true;
-    while (more && !load_->draining)
+    while (more)
     {
         request message;
         more = co_await read_request(message);
@@ -88,7 +88,7 @@
         {
             more = message.keep_alive();
             co_await handle_one(std::move(message));
-            more = more && stream_.socket().is_open();
+            more = more && stream_.socket().is_open() && !load_->draining;
         }
     }
     error_code ec;
@@ -166,6 +166,7 @@
     ++load_->requests;
     const auto it =
         std::make_shared<exchange>(stream_, pool_, std::move(message), remote_);
+    it->close_while(load_->draining);
     stream_.expires_never();
     watch_caller(it);
     bool failed = false;
--- a/Libraries/LibHttp/types.hpp
+++ b/Libraries/LibHttp/types.hpp
@@ -30,7 +30,7 @@
 using response = bhttp::response<bhttp::string_body>;
 
 inline constexpr std::uint32_t max_header_bytes = 16 * 1024;
-inline constexpr std::uint64_t max_request_body_bytes = 1 << 20;
+inline constexpr std::uint64_t max_request_body_bytes = 4 << 20;
 inline constexpr std::uint64_t max_answer_body_bytes = 4 << 20;
 
 /// Time for a caller to send one whole request, against slow clients.
--- /dev/null
+++ b/Libraries/LibRelay/relay_handler.cpp
@@ -0,0 +1,253 @@
+// Admission of requests.
+
+#include <LibRelay/relay_handler.hpp>
+
+#include <LibCore/text.hpp>
+#include <LibRelay/relay_run.hpp>
+#include <LibRelay/relay_ticket.hpp>
+
+#include <algorithm>
+#include <iterator>
+#include <utility>
+
+namespace hyssoploft::relay {
+
+namespace {
+
+using gateway::make_refusal;
+using gateway::refusal;
+using gateway::refusal_reason;
+
+/// Time after which a VM that just started has its manifest.
+constexpr std::chrono::milliseconds manifest_wait{500};
+
+// Regions that both allow; empty sets allow all. False if none is left.
+bool intersect(
+    const std::set<std::string>& a, const std::set<std::string>& b,
+    std::set<std::string>& out)
+{
+    if (a.empty() || b.empty())
+    {
+        out = a.empty() ? b : a;
+        return true;
+    }
+    std::set_intersection(
+        a.begin(), a.end(), b.begin(), b.end(),
+        std::inserter(out, out.begin()));
+    return !out.empty();
+}
+
+// One of the route's roles, by weight.
+const std::string&
+draw_role(const manifest::traffic_route& route, core::random_source& random)
+{
+    double sum = 0;
+    for (const auto& it : route.roles)
+    {
+        sum += it.weight;
+    }
+    double left = random.uniform() * sum;
+    const std::string* last = &route.roles.front().role;
+    for (const auto& it : route.roles)
+    {
+        if (it.weight <= 0)
+        {
+            continue;
+        }
+        last = &it.role;
+        if (left < it.weight)
+        {
+            break;
+        }
+        left -= it.weight;
+    }
+    return *last;
+}
+
+http::asio::awaitable<void> answer_refusal(
+    relay_services& services, http::exchange& it, const std::string& request_id,
+    const refusal& refused, bool relayed)
+{
+    auto answer = services.codec->make_refusal(refused);
+    if (relayed)
+    {
+        answer.set(
+            not_run_header,
+            core::name_of(gateway::not_run_names, refused.ran).data());
+    }
+    const auto name = std::string(gateway::rule_of(refused.reason).name);
+    core::log_line line("request_refused");
+    line.with("id", request_id)
+        .with("reason", name)
+        .with("detail", refused.message)
+        .with("status", answer.result_int())
+        .with("retry_after_s", core::to_seconds(refused.retry_after));
+    services.log.add(line, services.clock->now());
+    services.metrics
+        ->get_counter("hyssoploft_refusals_total", {{"reason", name}})
+        .add();
+    (void)co_await it.respond(std::move(answer));
+}
+
+} // namespace
+
+std::variant<request_terms, refusal>
+entry_handler::accept(const http::exchange& it)
+{
+    const auto& services = *services_;
+    const auto view = services.source->view();
+    const auto now = services.clock->now();
+    request_terms out;
+    out.head = services.codec->read_call(it.message());
+    out.request_id = out.head.request_id;
+    out.arrived = now;
+    if (services.refuse_new)
+    {
+        return make_refusal(
+            refusal_reason::shutting_down, "this VM takes no new requests");
+    }
+    if (!view->routes)
+    {
+        auto refused = make_refusal(
+            refusal_reason::no_upstream, "this VM has no manifest yet");
+        refused.retry_after = manifest_wait;
+        return refused;
+    }
+    const auto& routes = *view->routes;
+    const auto* route = routes.find_route(out.head.host, out.head.target);
+    if (!route)
+    {
+        return make_refusal(
+            refusal_reason::unknown_route,
+            core::concat("no route in manifest ", routes.version()));
+    }
+    const manifest::client_account* account = nullptr;
+    if (!route->open && !routes.source().accounts.empty())
+    {
+        account = routes.find_account(out.head.key);
+        if (!account)
+        {
+            return make_refusal(
+                out.head.key.empty() ? refusal_reason::missing_key
+                                     : refusal_reason::unknown_key,
+                core::concat("no such key in manifest ", routes.version()));
+        }
+    }
+    if (out.request_id.empty())
+    {
+        return make_refusal(
+            refusal_reason::malformed_request, "the request has no identifier");
+    }
+    out.route = route->name;
+    out.role = draw_role(*route, *services.random);
+    out.repeat = route->repeat;
+    out.latency_target = route->latency_target;
+    out.pause_target = route->pause_target;
+    out.deadline =
+        now +
+        std::min(route->timeout, out.head.deadline.value_or(route->timeout));
+    out.urgency = route->priority;
+    out.max_runs = std::max(1U, route->max_attempts);
+    if (const auto* role = routes.find_role(out.role))
+    {
+        out.is_engine = role->is_engine && out.head.has_token_count;
+        out.memory_tokens = role->engine.memory_tokens;
+    }
+    std::set<std::string> account_homes;
+    if (account)
+    {
+        out.account = account->name;
+        out.urgency = account->has_priority ? account->priority : out.urgency;
+        account_homes = account->homes;
+    }
+    if (!intersect(route->homes, account_homes, out.allowed_regions))
+    {
+        return make_refusal(
+            refusal_reason::no_upstream,
+            "the homes of route and account have no region in common");
+    }
+    if (account && account->tokens_per_second > 0)
+    {
+        const bool counted =
+            out.head.has_token_count && !account->counts_requests;
+        const double tokens =
+            counted ? out.head.prompt_tokens +
+                          static_cast<double>(out.head.answer_tokens)
+                    : account->plain_tokens;
+        auto reserved = services.rates->reserve(account->name, tokens, now);
+        if (!reserved.granted)
+        {
+            auto refused = make_refusal(
+                refusal_reason::rate_exceeded,
+                "the account's rate is used up at this VM");
+            refused.retry_after = reserved.retry_after;
+            return refused;
+        }
+        out.reserved = reserved.taken;
+    }
+    return out;
+}
+
+http::asio::awaitable<void> entry_handler::handle(http::exchange& it)
+{
+    auto accepted = accept(it);
+    if (const auto* refused = std::get_if<refusal>(&accepted))
+    {
+        const auto head = services_->codec->read_call(it.message());
+        co_await answer_refusal(
+            *services_, it, head.request_id, *refused, false);
+        co_return;
+    }
+    auto terms = std::get<request_terms>(std::move(accepted));
+    budget_of(*services_, terms.role).on_request(terms.arrived);
+    co_await std::make_shared<relay_run>(*services_, it, std::move(terms))
+        ->run();
+}
+
+http::asio::awaitable<void> peer_handler::handle(http::exchange& it)
+{
+    const auto text = http::header_value(it.message(), ticket_header);
+    const auto ticket = decode_ticket(text, services_->fleet_key);
+    if (!ticket.ok())
+    {
+        co_await answer_refusal(
+            *services_, it, "",
+            make_refusal(
+                refusal_reason::envelope_invalid, ticket.status().ToString()),
+            true);
+        co_return;
+    }
+    const auto view = services_->source->view();
+    if (services_->refuse_new || !view->routes)
+    {
+        co_await answer_refusal(
+            *services_, it, ticket->request_id,
+            make_refusal(
+                refusal_reason::shutting_down, "this VM takes no new requests"),
+            true);
+        co_return;
+    }
+    request_terms terms;
+    terms.head = services_->codec->read_call(it.message());
+    terms.request_id = ticket->request_id;
+    terms.role = ticket->role;
+    terms.account = ticket->account;
+    terms.repeat = ticket->is_idempotent ? manifest::repeat_kind::idempotent
+                                         : manifest::repeat_kind::at_most_once;
+    terms.is_engine = ticket->is_engine;
+    if (const auto* role = view->routes->find_role(terms.role))
+    {
+        terms.memory_tokens = role->engine.memory_tokens;
+    }
+    terms.latency_target = ticket->latency_target;
+    terms.arrived = services_->clock->now();
+    terms.deadline = terms.arrived + ticket->time_left;
+    terms.urgency = ticket->urgency;
+    terms.allowed_regions = {services_->region};
+    terms.relayed = true;
+    terms.head.last_event_id = ticket->last_event_id;
+    co_await std::make_shared<relay_run>(*services_, it, std::move(terms))
+        ->run();
+}
+
+} // namespace hyssoploft::relay
--- /dev/null
+++ b/Libraries/LibRelay/relay_services.hpp
@@ -0,0 +1,92 @@
+#ifndef HYSSOPLOFT_LIBRELAY_RELAY_SERVICES_HPP
+#define HYSSOPLOFT_LIBRELAY_RELAY_SERVICES_HPP
+
+// What the requests of one VM share. Everything here belongs to the traffic
+// thread, except where a member says otherwise.
+
+#include <LibCore/clock.hpp>
+#include <LibCore/random_source.hpp>
+#include <LibFleet/traffic_view.hpp>
+#include <LibManifest/manifest.hpp>
+#include <LibRate/rate_limiter.hpp>
+#include <LibRelay/call_codec.hpp>
+#include <LibRelay/request_log.hpp>
+#include <LibRetry/attempt_budget.hpp>
+#include <LibRouting/backlog_router.hpp>
+#include <LibTelemetry/metrics.hpp>
+
+#include <atomic>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+
+namespace hyssoploft::relay {
+
+/// Bound on repeated calls of a role, summed over all VMs.
+struct repeat_limits
+{
+    double share = 0.2; ///< Of the role's requests.
+    double slack = 0;   ///< Calls in each window besides.
+    core::duration window = std::chrono::seconds(10);
+};
+
+struct relay_services
+{
+    std::string vm;
+    std::string region;
+    std::string fleet_key; ///< Signs calls between VMs.
+    repeat_limits repeats;
+    std::shared_ptr<fleet::traffic_source> source;
+    std::shared_ptr<const call_codec> codec;
+    std::shared_ptr<rate::rate_limiter> rates;
+    std::shared_ptr<core::clock> clock;
+    core::random_source* random = nullptr; ///< Outlives the services.
+    telemetry::metrics* metrics = nullptr; ///< Likewise.
+    std::unique_ptr<routing::backlog_router> router;
+    std::map<std::string, retry::attempt_budget> budgets; ///< By role.
+    request_log log;
+    /// Set by the thread that shuts the process down.
+    std::atomic<bool> refuse_new{false};
+    std::atomic<std::size_t> running{0}; ///< Read by that thread.
+};
+
+/// The budget of a role, with this VM's part of the slack.
+inline retry::attempt_budget&
+budget_of(relay_services& services, const std::string& role)
+{
+    const auto& limits = services.repeats;
+    const auto slack = static_cast<std::uint32_t>(
+        limits.slack / services.source->view()->entry_vms);
+    const auto [found, added] =
+        services.budgets.try_emplace(role, limits.share, slack, limits.window);
+    found->second.set_constant(slack);
+    return found->second;
+}
+
+/// What is decided of a request before it is sent anywhere.
+struct request_terms
+{
+    std::string request_id;
+    std::string route;   ///< Name; empty for a call of another VM.
+    std::string role;    ///< Of the upstreams.
+    std::string account; ///< Empty on an open route.
+    manifest::repeat_kind repeat = manifest::repeat_kind::at_most_once;
+    bool is_engine = false;
+    std::uint64_t memory_tokens = 0; ///< Of each engine.
+    core::duration latency_target{};
+    core::duration pause_target{};
+    core::time_point arrived{};
+    core::time_point deadline{};
+    std::uint32_t urgency = 0;
+    std::uint32_t max_runs = 1;            ///< Upstreams that may run it.
+    std::set<std::string> allowed_regions; ///< Empty: all.
+    bool relayed = false; ///< Another VM sent it: it stays in this region.
+    call_head head;
+    std::optional<rate::reservation> reserved;
+};
+
+} // namespace hyssoploft::relay
+
+#endif
--- /dev/null
+++ b/Libraries/LibRelay/request_log.cpp
@@ -0,0 +1,66 @@
+// Bounded, non-blocking output of request lines.
+
+#include <LibRelay/request_log.hpp>
+
+#include <LibCore/text.hpp>
+
+#include <poll.h>
+#include <unistd.h>
+
+#include <algorithm>
+
+namespace hyssoploft::relay {
+
+void request_log::add(const core::log_line& line, core::time_point now)
+{
+    if (now - window_ >= std::chrono::seconds(1))
+    {
+        window_ = now;
+        window_bytes_ = 0;
+    }
+    const auto size = line.text().size() + 1;
+    if (window_bytes_ + size > bytes_per_second ||
+        buffer_.size() + size > bytes_per_second)
+    {
+        ++dropped_;
+        return;
+    }
+    window_bytes_ += size;
+    buffer_ += line.text();
+    buffer_ += '\n';
+}
+
+void request_log::flush()
+{
+    if (dropped_ > reported_ && buffer_.size() < bytes_per_second)
+    {
+        buffer_ += core::log_line("log_lines_dropped")
+                       .with("count", dropped_ - reported_)
+                       .text();
+        buffer_ += '\n';
+        reported_ = dropped_;
+    }
+    if (buffer_.empty())
+    {
+        return;
+    }
+    pollfd out{STDOUT_FILENO, POLLOUT, 0};
+    // A pipe that is ready takes PIPE_BUF bytes at least without blocking.
+    constexpr std::size_t piece = 4096;
+    std::size_t done = 0;
+    while (done < buffer_.size() && ::poll(&out, 1, 0) == 1 &&
+           (out.revents & POLLOUT) != 0)
+    {
+        const auto n = ::write(
+            STDOUT_FILENO, buffer_.data() + done,
+            std::min(piece, buffer_.size() - done));
+        if (n <= 0)
+        {
+            break;
+        }
+        done += static_cast<std::size_t>(n);
+    }
+    buffer_.erase(0, done);
+}
+
+} // namespace hyssoploft::relay
--- a/Libraries/LibRetry/attempt_budget.hpp
+++ b/Libraries/LibRetry/attempt_budget.hpp
@@ -19,6 +19,12 @@
         : share_(share), constant_(constant), window_(window)
     {}
 
+    /// Changes the constant; extra attempts in the window still count.
+    void set_constant(std::uint32_t constant)
+    {
+        constant_ = constant;
+    }
+
     void on_request(core::time_point now);
 
     /// Takes one extra attempt; false if the window holds as many as it may.
--- /dev/null
+++ b/Services/hyssoploft/fleet_process.cpp
@@ -0,0 +1,406 @@
+// Start and shutdown of one VM on the users' platform.
+
+#include "fleet_process.hpp"
+
+#include <platform/call_headers.hpp>
+#include <platform/control_api.hpp>
+#include <platform/directory_api.hpp>
+#include <platform/manifest_document.hpp>
+
+#include <LibCore/log_line.hpp>
+#include <LibCore/text.hpp>
+#include <LibRelay/relay_handler.hpp>
+
+#include <boost/asio/post.hpp>
+#include <glog/logging.h>
+#include <sys/stat.h>
+
+#include <csignal>
+#include <utility>
+
+namespace hyssoploft::service {
+
+namespace {
+
+/// Each wake-up is charged; a shutdown is noticed by its signal.
+constexpr std::chrono::milliseconds step_interval{250};
+/// Loads reported to other VMs and waiting log lines are this old at most.
+constexpr std::chrono::milliseconds traffic_interval{200};
+/// New requests are still taken for this time after SIGTERM, until callers
+/// have learned of other VMs: the time to live of the directory's answers and
+/// an exchange of state.
+constexpr std::chrono::milliseconds accept_while_leaving{3000};
+/// Kept free at the end of the time that the platform gives.
+constexpr std::chrono::milliseconds stop_margin{400};
+/// A control VM hands over leadership and finishes calls meanwhile.
+constexpr std::chrono::milliseconds control_leaving{1000};
+/// Part of the slack on rates that VMs may use as additional burst.
+constexpr double used_rate_slack = 0.6;
+/// Descriptors that remain for files, peers and upstreams.
+constexpr std::size_t max_callers = 2500;
+/// Parts of the fleet's own key identifiers.
+constexpr std::uint8_t fleet_key_id = 1;
+
+class metrics_page final : public http::request_handler
+{
+public:
+    explicit metrics_page(const telemetry::metrics& from) : from_(from) {}
+
+    http::asio::awaitable<void> handle(http::exchange& it) override
+    {
+        http::response out(http::bhttp::status::ok, 11);
+        out.set(http::bhttp::field::content_type, "text/plain; version=0.0.4");
+        out.body() = from_.to_text();
+        (void)co_await it.respond(std::move(out));
+    }
+
+private:
+    const telemetry::metrics& from_;
+};
+
+std::string address_of(const std::string& ip, std::uint16_t port)
+{
+    return core::concat(ip, ":", port);
+}
+
+} // namespace
+
+absl::StatusOr<std::unique_ptr<fleet_process>>
+fleet_process::create(const fleet_process_options& options)
+{
+    std::unique_ptr<fleet_process> it(new fleet_process);
+    const auto status = it->open(options);
+    if (!status.ok())
+    {
+        return status;
+    }
+    return it;
+}
+
+fleet_process::fleet_process()
+    : clock_(std::make_shared<core::suspend_aware_clock>()),
+      random_(std::make_shared<core::system_random>())
+{}
+
+fleet_process::~fleet_process()
+{
+    // Sessions use the control thread's snapshots: their thread ends first.
+    if (traffic_)
+    {
+        traffic_->stop();
+    }
+}
+
+absl::Status fleet_process::open(const fleet_process_options& options)
+{
+    options_ = options;
+    auto settings = platform::read_vm_settings(options.settings_path);
+    if (!settings.ok())
+    {
+        return settings.status();
+    }
+    settings_ = *std::move(settings);
+    if (auto status = open_control(); !status.ok())
+    {
+        return status;
+    }
+    traffic_ = std::make_shared<http::traffic_thread>();
+    if (!settings_.control_address.empty())
+    {
+        auto status = add_server(
+            settings_.control_address, std::make_shared<platform::control_api>(
+                                           control_, settings_.regions));
+        if (!status.ok())
+        {
+            return status;
+        }
+    }
+    if (!settings_.directory_address.empty())
+    {
+        auto status = add_server(
+            settings_.directory_address,
+            std::make_shared<platform::directory_api>(control_));
+        if (!status.ok())
+        {
+            return status;
+        }
+    }
+    if (options.metrics_port != 0)
+    {
+        auto status = add_server(
+            address_of(settings_.ip, options.metrics_port),
+            std::make_shared<metrics_page>(metrics_));
+        if (!status.ok())
+        {
+            return status;
+        }
+    }
+    return settings_.entry_address.empty() ? absl::OkStatus() : open_entry();
+}
+
+absl::Status fleet_process::open_control()
+{
+    control::fleet_options out;
+    out.vm = settings_.ip;
+    out.region = settings_.region;
+    out.data_center = settings_.data_center;
+    out.entry_address = settings_.entry_address;
+    if (!settings_.entry_address.empty())
+    {
+        out.relay_address = address_of(
+            settings_.ip,
+            static_cast<std::uint16_t>(settings_.first_peer_port + 1));
+    }
+    out.control_address = settings_.control_address;
+    out.peer_address = address_of(settings_.ip, settings_.first_peer_port);
+    out.seeds = settings_.seed_ips;
+    out.data_dir =
+        settings_.control_address.empty() ? std::string() : settings_.data_dir;
+    out.first_start = settings_.first_start;
+    // A majority remains after the losses that are to be borne.
+    out.max_voters = 2 * std::size_t{settings_.tolerated_losses} + 1;
+    out.extra_burst_tokens = used_rate_slack * settings_.rate_slack_tokens;
+    out.keys.current = {fleet_key_id, options_.fleet_key};
+    out.incarnation = random_->next() | 1U;
+    auto created = control::fleet_control::create(
+        out, std::make_shared<platform::manifest_document>(), clock_, random_,
+        metrics_);
+    if (!created.ok())
+    {
+        return created.status();
+    }
+    control_ = *std::move(created);
+    return absl::OkStatus();
+}
+
+absl::Status fleet_process::open_entry()
+{
+    relay_ = std::make_shared<relay::relay_services>();
+    relay_->vm = settings_.ip;
+    relay_->region = settings_.region;
+    relay_->fleet_key = options_.fleet_key;
+    relay_->repeats = {
+        settings_.repeat_share, settings_.repeat_slack,
+        settings_.repeat_window};
+    relay_->source = control_;
+    relay_->codec = std::make_shared<platform::call_headers>();
+    relay_->rates = control_->rates();
+    relay_->clock = clock_;
+    relay_->random = &traffic_random_;
+    relay_->metrics = &metrics_;
+    relay_->router = std::make_unique<routing::backlog_router>(
+        settings_.region, routing::backlog_settings{}, traffic_random_);
+    auto status = add_server(
+        settings_.entry_address, std::make_shared<relay::entry_handler>(relay_),
+        &entry_server_);
+    if (!status.ok())
+    {
+        return status;
+    }
+    status = add_server(
+        address_of(
+            settings_.ip,
+            static_cast<std::uint16_t>(settings_.first_peer_port + 1)),
+        std::make_shared<relay::peer_handler>(relay_), &relay_server_);
+    if (!status.ok() || settings_.readiness_address.empty())
+    {
+        return status;
+    }
+    return add_server(
+        settings_.readiness_address,
+        std::make_shared<platform::readiness_api>([this] {
+            return is_ready();
+        }));
+}
+
+absl::Status fleet_process::add_server(
+    const std::string& address, std::shared_ptr<http::request_handler> handler,
+    std::shared_ptr<http::http_server>* out)
+{
+    auto server = http::http_server::create(
+        {address, max_callers}, {traffic_}, std::move(handler));
+    if (!server.ok())
+    {
+        return server.status();
+    }
+    servers_.push_back(*server);
+    if (out)
+    {
+        *out = *std::move(server);
+    }
+    return absl::OkStatus();
+}
+
+bool fleet_process::is_ready() const
+{
+    return !relay_->refuse_new && control_->view()->routes != nullptr;
+}
+
+int fleet_process::run()
+{
+    signals_.add(SIGTERM);
+    signals_.add(SIGINT);
+    signals_.add(SIGHUP);
+    wait_for_signal();
+    struct stat info
+    {};
+    if (::stat(options_.settings_path.c_str(), &info) == 0)
+    {
+        settings_changed_ = info.st_mtime;
+    }
+    control_->start();
+    for (const auto& it : servers_)
+    {
+        it->start();
+    }
+    if (relay_)
+    {
+        boost::asio::post(traffic_->context(), [this] {
+            traffic_timer_ = std::make_unique<boost::asio::steady_timer>(
+                traffic_->context());
+            schedule_traffic();
+        });
+    }
+    LOG(INFO) << core::log_line("serving")
+                     .with("vm", settings_.ip)
+                     .with("machine", settings_.machine)
+                     .with("region", settings_.region)
+                     .with("first_start", settings_.first_start ? 1 : 0);
+    schedule();
+    io_.run();
+    return exit_code_;
+}
+
+void fleet_process::wait_for_signal()
+{
+    signals_.async_wait(
+        [this](const boost::system::error_code& ec, int signal) {
+            if (ec)
+            {
+                return;
+            }
+            if (signal == SIGHUP)
+            {
+                reload_if_changed(true);
+            }
+            else if (!leaving_)
+            {
+                start_leaving();
+            }
+            wait_for_signal();
+        });
+}
+
+void fleet_process::schedule()
+{
+    timer_.expires_after(step_interval);
+    timer_.async_wait([this](const boost::system::error_code& ec) {
+        if (ec)
+        {
+            return;
+        }
+        step();
+        if (stopped_)
+        {
+            io_.stop();
+            return;
+        }
+        schedule();
+    });
+}
+
+void fleet_process::schedule_traffic()
+{
+    traffic_timer_->expires_after(traffic_interval);
+    traffic_timer_->async_wait([this](const boost::system::error_code& ec) {
+        if (ec)
+        {
+            return;
+        }
+        relay_->router->tick(*control_->view(), clock_->now());
+        control_->set_loads(relay_->router->own_loads());
+        relay_->log.flush();
+        schedule_traffic();
+    });
+}
+
+void fleet_process::step()
+{
+    const auto now = clock_->now();
+    if (control_->failed())
+    {
+        // Without its disk this replica must not go on.
+        exit_code_ = 1;
+        stopped_ = true;
+        return;
+    }
+    if (!leaving_)
+    {
+        control_->set_ready(relay_ && is_ready());
+        reload_if_changed(false);
+        return;
+    }
+    const auto since = now - left_;
+    if (!relay_)
+    {
+        stopped_ = since >= control_leaving;
+        return;
+    }
+    if (since >= accept_while_leaving && !relay_->refuse_new)
+    {
+        relay_->refuse_new = true;
+        LOG(INFO) << core::log_line("refusing_new_requests")
+                         .with("running", relay_->running.load());
+    }
+    const bool idle = relay_->refuse_new && relay_->running == 0;
+    stopped_ = (idle && since >= accept_while_leaving + step_interval) ||
+               since >= settings_.stop_grace - stop_margin;
+    if (stopped_)
+    {
+        LOG(INFO) << core::log_line("stopped").with(
+            "running", relay_->running.load());
+    }
+}
+
+void fleet_process::reload_if_changed(bool forced)
+{
+    struct stat info
+    {};
+    if (::stat(options_.settings_path.c_str(), &info) != 0)
+    {
+        return;
+    }
+    if (!forced && info.st_mtime == settings_changed_)
+    {
+        return;
+    }
+    settings_changed_ = info.st_mtime;
+    const auto read = platform::read_vm_settings(options_.settings_path);
+    if (!read.ok())
+    {
+        LOG(WARNING) << core::log_line("settings_unreadable")
+                            .with("error", read.status().ToString());
+        return;
+    }
+    control_->set_seeds(read->seed_ips);
+    LOG(INFO) << core::log_line("settings_reloaded")
+                     .with("seeds", read->seed_ips.size());
+}
+
+void fleet_process::start_leaving()
+{
+    leaving_ = true;
+    left_ = clock_->now();
+    LOG(INFO) << core::log_line("leaving").with(
+        "running", relay_ ? relay_->running.load() : 0);
+    control_->begin_leaving();
+    for (const auto& it : {entry_server_, relay_server_})
+    {
+        if (it)
+        {
+            it->close_kept_connections();
+        }
+    }
+}
+
+} // namespace hyssoploft::service
--- a/Services/hyssoploft/settings.cpp
+++ b/Services/hyssoploft/settings.cpp
@@ -71,6 +71,9 @@
 namespace {
 
 constexpr const char* flag_names[] = {
+    "settings",
+    "fleet_key",
+    "metrics_port",
     "vm",
     "region",
     "data_center",
