--- a/Services/hyssoploft/fleet_process.cpp
+++ b/Services/hyssoploft/fleet_process.cpp
@@ -233,7 +233,7 @@
 
 bool fleet_process::is_ready() const
 {
-    return !relay_->refuse_new && control_->view()->routes != nullptr;
+    return !leaving_ && control_->view()->routes != nullptr;
 }
 
 int fleet_process::run()
--- a/Services/hyssoploft/fleet_process.hpp
+++ b/Services/hyssoploft/fleet_process.hpp
@@ -16,6 +16,7 @@
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include <atomic>
 #include <memory>
 #include <string>
 #include <vector>
@@ -78,7 +79,7 @@
     std::shared_ptr<http::http_server> entry_server_;
     std::shared_ptr<http::http_server> relay_server_;
     std::int64_t settings_changed_ = 0; // Modification time of the file.
-    bool leaving_ = false;
+    std::atomic<bool> leaving_{false}; // Read by the traffic thread.
     core::time_point left_{}; // When leaving began.
     int exit_code_ = 0;
     bool stopped_ = false;
