--- a/Libraries/LibFleet/entry_directory.cpp
+++ b/Libraries/LibFleet/entry_directory.cpp
@@ -33,4 +33,27 @@
     return out;
 }
 
+std::vector<const membership::vm_record*> relay_vms_of(
+    const membership::fleet_view& fleet, const std::string& region)
+{
+    std::vector<const membership::vm_record*> ready;
+    std::vector<const membership::vm_record*> leaving;
+    for (const auto& [id, it] : fleet.vms)
+    {
+        if (it.region != region || !it.entry || it.relay_address.empty())
+        {
+            continue;
+        }
+        if (it.ready && it.state == membership::vm_state::alive)
+        {
+            ready.push_back(&it);
+        }
+        else if (it.state == membership::vm_state::leaving)
+        {
+            leaving.push_back(&it);
+        }
+    }
+    return ready.empty() ? leaving : ready;
+}
+
 } // namespace hyssoploft::fleet
--- a/Libraries/LibRelay/upstream_attempt.cpp
+++ b/Libraries/LibRelay/upstream_attempt.cpp
@@ -3,10 +3,9 @@
 #include <LibRelay/upstream_attempt.hpp>
 
 #include <LibCore/text.hpp>
+#include <LibFleet/entry_directory.hpp>
 #include <LibRelay/relay_ticket.hpp>
 
-#include <vector>
-
 namespace hyssoploft::relay {
 
 namespace {
@@ -34,17 +33,7 @@
                                                         : found->second.address;
         return !address_.empty();
     }
-    std::vector<const membership::vm_record*> vms;
-    for (const auto& [id, it] : view.fleet->vms)
-    {
-        const bool usable = it.region == to.region && it.entry && it.ready &&
-                            it.state == membership::vm_state::alive &&
-                            !it.relay_address.empty();
-        if (usable)
-        {
-            vms.push_back(&it);
-        }
-    }
+    const auto vms = fleet::relay_vms_of(*view.fleet, to.region);
     if (vms.empty())
     {
         return false;
--- a/Libraries/LibRouting/backlog_router.cpp
+++ b/Libraries/LibRouting/backlog_router.cpp
@@ -2,6 +2,8 @@
 
 #include <LibRouting/backlog_router.hpp>
 
+#include <LibFleet/entry_directory.hpp>
+
 #include <algorithm>
 #include <array>
 #include <cmath>
@@ -56,17 +58,6 @@
     return parts.size() < 2 ? 0 : parts[parts.size() - 2].id;
 }
 
-bool is_region_served(
-    const fleet::traffic_view& view, const std::string& region)
-{
-    return std::any_of(
-        view.fleet->vms.begin(), view.fleet->vms.end(), [&](const auto& it) {
-            const auto& vm = it.second;
-            return vm.region == region && vm.ready && vm.entry &&
-                   vm.state == membership::vm_state::alive;
-        });
-}
-
 } // namespace
 
 backlog_router::backlog_router(
@@ -229,7 +220,8 @@
         if (it.region != region_)
         {
             const auto known = served_regions.try_emplace(
-                it.region, is_region_served(view, it.region));
+                it.region,
+                !fleet::relay_vms_of(*view.fleet, it.region).empty());
             if (!known.first->second)
             {
                 continue;
