LibRouting: Refuse calls beyond the backlog limit of engines

Change: a call whose first event is expected after 1.2 times its latency target is refused at once with a time to come back.

--- a/Libraries/LibRelay/relay_run.cpp
+++ b/Libraries/LibRelay/relay_run.cpp
@@ -47,6 +47,8 @@
         return refusal_reason::no_upstream;
     case routing::no_placement::all_tried:
         return refusal_reason::upstreams_busy;
+    case routing::no_placement::backlog_full:
+        return refusal_reason::queue_full;
     case routing::no_placement::deadline_too_near:
         break;
     }
--- a/Libraries/LibRouting/backlog_router.cpp
+++ b/Libraries/LibRouting/backlog_router.cpp
@@ -292,6 +292,14 @@
         out.retry_after = retry_after(request);
         return out;
     }
+    const bool overloaded = request.prompt_tokens > 0 && target > 0 &&
+                            best->seconds > settings_.backlog_limit * target;
+    if (overloaded)
+    {
+        out.refusal = no_placement::backlog_full;
+        out.retry_after = retry_after(request);
+        return out;
+    }
     return commit(*best, request, reason, now);
 }
 
--- a/Libraries/LibRouting/backlog_router.hpp
+++ b/Libraries/LibRouting/backlog_router.hpp
@@ -56,14 +56,16 @@
     no_upstream,       ///< None serves this role now.
     residency_forbids, ///< Some serve it, but not in an allowed region.
     all_tried,         ///< Each of them was tried or takes no work now.
-    deadline_too_near  ///< No first event is expected in time.
+    deadline_too_near, ///< No first event is expected in time.
+    backlog_full       ///< Engines have to read too much before it.
 };
 
-inline constexpr core::enum_table<no_placement, 4> no_placement_names{
+inline constexpr core::enum_table<no_placement, 5> no_placement_names{
     {{no_placement::no_upstream, "no_upstream"},
      {no_placement::residency_forbids, "residency_forbids"},
      {no_placement::all_tried, "all_tried"},
-     {no_placement::deadline_too_near, "deadline_too_near"}}};
+     {no_placement::deadline_too_near, "deadline_too_near"},
+     {no_placement::backlog_full, "backlog_full"}}};
 
 struct placement
 {
@@ -123,6 +125,10 @@
     /// Part of the latency target that the own region may use up before other
     /// regions are considered.
     double local_share = 0.6;
+    /// An engine's backlog may delay a first event up to this multiple of the
+    /// latency target; what comes on top is refused, so that the accepted
+    /// calls stay on time and running streams are not starved.
+    double backlog_limit = 1.2;
     /// Added for an upstream that fails, times the share of its failures:
     /// about what a failed call costs its caller.
     double failure_seconds = 1.5;
