LibRate: Divide bursts evenly and rates by demand

Change: each VM holds an even part of the burst and of the usable slack; shares divide only the rates; demand falls faster, and a fifth of a rate is even.

--- a/Libraries/LibControl/fleet_control_view.cpp
+++ b/Libraries/LibControl/fleet_control_view.cpp
@@ -77,6 +77,7 @@
 
 void fleet_control::count_entry_vms(core::time_point now)
 {
+    const auto before = entry_vms_.size();
     for (const auto& [id, it] : fleet_->vms)
     {
         if (it.entry && it.state != membership::vm_state::dead)
@@ -87,6 +88,10 @@
     std::erase_if(entry_vms_, [now](const auto& it) {
         return now - it.second > entry_vm_memory;
     });
+    if (entry_vms_.size() != before)
+    {
+        install_rates();
+    }
 }
 
 void fleet_control::publish()
@@ -173,10 +178,9 @@
             rates[it.name] = {it.tokens_per_second, it.burst_tokens, 0.0};
         }
     }
-    const auto vms = std::max<std::size_t>(1, entry_vms_.size());
     holder_->install(
-        rates, options_.extra_burst_tokens / static_cast<double>(vms),
-        clock_->now());
+        rates, options_.extra_burst_tokens,
+        static_cast<std::uint32_t>(entry_vms_.size()), clock_->now());
 }
 
 void fleet_control::install_evacuations(
--- a/Libraries/LibFleet/entry_directory.cpp
+++ b/Libraries/LibFleet/entry_directory.cpp
@@ -33,8 +33,8 @@
     return out;
 }
 
-std::vector<const membership::vm_record*> relay_vms_of(
-    const membership::fleet_view& fleet, const std::string& region)
+std::vector<const membership::vm_record*>
+relay_vms_of(const membership::fleet_view& fleet, const std::string& region)
 {
     std::vector<const membership::vm_record*> ready;
     std::vector<const membership::vm_record*> leaving;
--- a/Libraries/LibFleet/entry_directory.hpp
+++ b/Libraries/LibFleet/entry_directory.hpp
@@ -19,8 +19,8 @@
 
 /// VMs of `region` that can pass calls on to its upstreams: ready ones, or
 /// those that leave if there are none, since they take calls a little longer.
-std::vector<const membership::vm_record*> relay_vms_of(
-    const membership::fleet_view& fleet, const std::string& region);
+std::vector<const membership::vm_record*>
+relay_vms_of(const membership::fleet_view& fleet, const std::string& region);
 
 } // namespace hyssoploft::fleet
 
--- a/Libraries/LibRate/rate_limiter.hpp
+++ b/Libraries/LibRate/rate_limiter.hpp
@@ -25,6 +25,8 @@
     bool granted = false;
     reservation taken;            ///< Valid if granted.
     core::duration retry_after{}; ///< If not; when to try again at this VM.
+    double credit = 0;            ///< If not: tokens at this VM, for the log.
+    double share = 0; ///< If not: part of the rate that this VM holds.
 };
 
 class rate_limiter
--- a/Libraries/LibRate/share_allocator.cpp
+++ b/Libraries/LibRate/share_allocator.cpp
@@ -13,7 +13,7 @@
 
 /// Part of a rate that is divided evenly whatever the demand, so that the
 /// first requests of a VM don't wait for the next exchange.
-constexpr double even_part = 0.1;
+constexpr double even_part = 0.2;
 /// Bounds the grants that are counted for one VM and account.
 constexpr std::size_t max_counted_parts = 64;
 
--- a/Libraries/LibRate/share_holder.cpp
+++ b/Libraries/LibRate/share_holder.cpp
@@ -9,10 +9,10 @@
 
 namespace {
 
-/// A rise of demand counts within two measurements; a fall slowly, since a
-/// share given up too early comes back without credit.
+/// A rise of demand counts within two measurements; a fall more slowly, since
+/// requests come in groups. Callers move between regions within seconds.
 constexpr double rise_weight = 0.6;
-constexpr double fall_seconds = 4.0;
+constexpr double fall_seconds = 1.5;
 constexpr core::duration measure_interval = std::chrono::milliseconds(300);
 /// Shown to a caller whose request no credit of this VM can cover now.
 constexpr core::duration retry_after_renewal = std::chrono::seconds(1);
@@ -21,10 +21,11 @@
 
 void share_holder::install(
     const std::map<std::string, account_rate>& rates, double extra_burst,
-    core::time_point now)
+    std::uint32_t vms, core::time_point now)
 {
     const std::lock_guard lock(mutex_);
     extra_burst_ = extra_burst;
+    vms_ = std::max(1U, vms);
     std::erase_if(accounts_, [&](const auto& it) {
         return !rates.contains(it.first);
     });
@@ -59,7 +60,7 @@
     // The clock may be 1% fast; accrual must not exceed the rate in true time.
     it.bucket.configure(
         part * it.declared.tokens_per_second / clock_drift,
-        part * it.declared.burst_tokens + (part > 0 ? extra_burst_ : 0.0));
+        (it.declared.burst_tokens + extra_burst_) / vms_);
 }
 
 void share_holder::measure_demand(core::time_point now)
@@ -165,6 +166,8 @@
         out.taken = {account, tokens, it.bucket.epoch()};
         return out;
     }
+    out.credit = it.bucket.credit();
+    out.share = share_of(account, now);
     out.retry_after = std::min<core::duration>(
         it.bucket.wait_for(tokens), retry_after_renewal);
     return out;
--- a/Libraries/LibRate/share_holder.hpp
+++ b/Libraries/LibRate/share_holder.hpp
@@ -21,11 +21,14 @@
 {
 public:
     /// Puts declared rates in force; an account without a rate is not limited
-    /// here and must not be reserved for. `extra_burst` is credit that each
-    /// account may hold at this VM besides its share of the burst, in tokens.
+    /// here and must not be reserved for. `extra_burst` is added to the burst
+    /// of each account, over all VMs, in tokens: a part of a small burst would
+    /// not cover a single large prompt. Bursts are divided evenly between
+    /// `vms`, so that a VM whose demand rises has credit before its share
+    /// grows; the shares only divide the rates.
     void install(
         const std::map<std::string, account_rate>& rates, double extra_burst,
-        core::time_point now);
+        std::uint32_t vms, core::time_point now);
 
     /// The request for one grantor; a lease that answers it starts now.
     share_request
@@ -77,6 +80,7 @@
     std::map<std::string, account_state> accounts_;
     std::map<std::string, grantor_state> grantors_;
     double extra_burst_ = 0;
+    double vms_ = 1;
     core::time_point measured_{};
 };
 
--- a/Libraries/LibRelay/relay_handler.cpp
+++ b/Libraries/LibRelay/relay_handler.cpp
@@ -179,7 +179,11 @@
         {
             auto refused = make_refusal(
                 refusal_reason::rate_exceeded,
-                "the account's rate is used up at this VM");
+                core::concat(
+                    "rate of ", account->name,
+                    " is used up: ", account->tokens_per_second,
+                    " tokens/s, credit ", reserved.credit, ", share ",
+                    reserved.share, ", wanted ", tokens));
             refused.retry_after = reserved.retry_after;
             return refused;
         }
--- a/Services/hyssoploft/fleet_process.cpp
+++ b/Services/hyssoploft/fleet_process.cpp
@@ -34,8 +34,9 @@
 constexpr std::chrono::milliseconds stop_margin{400};
 /// A control VM hands over leadership and finishes calls meanwhile.
 constexpr std::chrono::milliseconds control_leaving{1000};
-/// Part of the slack on rates that VMs may use as additional burst.
-constexpr double used_rate_slack = 0.6;
+/// Part of the slack on rates that VMs use as additional burst; the rest
+/// covers calls that wait on their way.
+constexpr double used_rate_slack = 0.8;
 /// Descriptors that remain for files, peers and upstreams.
 constexpr std::size_t max_callers = 2500;
 /// Parts of the fleet's own key identifiers.
