LibRate, LibRouting: Serve sooner after a restart, bound engines' backlog

Engines that always have prompts to read starve running streams. Change: a grantor gives out 0.35 of its rate meanwhile and a VM starts with 0.3 of its burst; an upstream that answered with a failure is not tried again; the wait that other calls cause is limited to 0.6 of the latency target.

--- a/Libraries/LibRate/share_allocator.cpp
+++ b/Libraries/LibRate/share_allocator.cpp
@@ -14,6 +14,10 @@
 /// Part of a rate that is divided evenly whatever the demand, so that the
 /// first requests of a VM don't wait for the next exchange.
 constexpr double even_part = 0.2;
+/// Part of its rate that a grantor gives out although grants of its earlier
+/// process may be in force: over the wait this is 0.7 s of the rate, within
+/// the tenth by which rates may be exceeded over 8 s.
+constexpr double waiting_part = 0.35;
 /// Bounds the grants that are counted for one VM and account.
 constexpr std::size_t max_counted_parts = 64;
 
@@ -118,9 +122,12 @@
     for (const auto& demand : request.demands)
     {
         auto& it = own.accounts[demand.account];
-        double part = now < grants_from_
-                          ? std::clamp<double>(demand.held, 0.0, 1.0)
-                          : target(own, demand.account);
+        double part = target(own, demand.account);
+        if (now < grants_from_)
+        {
+            part = std::max<double>(
+                std::clamp<double>(demand.held, 0.0, 1.0), waiting_part * part);
+        }
         part = std::min(part, free_for(own, demand.account, now));
         if (it.parts.size() >= max_counted_parts)
         {
--- a/Libraries/LibRate/share_holder.cpp
+++ b/Libraries/LibRate/share_holder.cpp
@@ -14,6 +14,9 @@
 constexpr double rise_weight = 0.6;
 constexpr double fall_seconds = 1.5;
 constexpr core::duration measure_interval = std::chrono::milliseconds(300);
+/// Part of the burst that a VM holds when it starts, so that the first
+/// requests need not wait. An earlier process of the VM may have used it.
+constexpr double first_credit = 0.3;
 /// Shown to a caller whose request no credit of this VM can cover now.
 constexpr core::duration retry_after_renewal = std::chrono::seconds(1);
 
@@ -31,10 +34,15 @@
     });
     for (const auto& [name, declared] : rates)
     {
-        auto& it = accounts_.try_emplace(name, now).first->second;
+        const auto [found, added] = accounts_.try_emplace(name, now);
+        auto& it = found->second;
         it.bucket.advance(now);
         it.declared = declared;
         configure(name, it, now);
+        if (added)
+        {
+            it.bucket.add(first_credit * it.bucket.cap());
+        }
     }
 }
 
--- a/Libraries/LibRelay/relay_run.cpp
+++ b/Libraries/LibRelay/relay_run.cpp
@@ -215,11 +215,7 @@
     current_ = nullptr;
     if (next == next_step::again && call.via_vm().empty())
     {
-        // An upstream that failed with an answer may well serve the next try.
-        if (end_ != call_end::errored)
-        {
-            excluded_.insert(where.upstream);
-        }
+        excluded_.insert(where.upstream);
     }
     co_return next;
 }
--- a/Libraries/LibRouting/backlog_router.cpp
+++ b/Libraries/LibRouting/backlog_router.cpp
@@ -133,6 +133,7 @@
     const double queued = std::max(0.0, running + 1 - capacity);
     // A request without a slot waits for one of the running ones to end, which
     // takes about a second each on average.
+    out.wait_seconds = out.ahead_tokens / speed + queued / capacity;
     out.seconds += settings_.base_seconds +
                    (out.ahead_tokens + out.read_tokens) / speed +
                    queued / capacity;
@@ -292,8 +293,10 @@
         out.retry_after = retry_after(request);
         return out;
     }
-    const bool overloaded = request.prompt_tokens > 0 && target > 0 &&
-                            best->seconds > settings_.backlog_limit * target;
+    const bool overloaded =
+        request.prompt_tokens > 0 && target > 0 &&
+        (best->seconds > settings_.late_limit * target ||
+         best->wait_seconds > settings_.backlog_limit * target);
     if (overloaded)
     {
         out.refusal = no_placement::backlog_full;
--- a/Libraries/LibRouting/backlog_router.hpp
+++ b/Libraries/LibRouting/backlog_router.hpp
@@ -125,10 +125,13 @@
     /// Part of the latency target that the own region may use up before other
     /// regions are considered.
     double local_share = 0.6;
-    /// An engine's backlog may delay a first event up to this multiple of the
-    /// latency target; what comes on top is refused, so that the accepted
-    /// calls stay on time and running streams are not starved.
-    double backlog_limit = 1.2;
+    /// A call is refused if its first event is expected after this multiple
+    /// of its latency target.
+    double late_limit = 1.2;
+    /// The same for the part of the wait that other calls cause. An engine
+    /// that always has prompts to read makes only a few tokens a second for
+    /// its running streams, which then miss their deadlines.
+    double backlog_limit = 0.6;
     /// Added for an upstream that fails, times the share of its failures:
     /// about what a failed call costs its caller.
     double failure_seconds = 1.5;
@@ -213,8 +216,9 @@
     {
         const membership::upstream_record* record = nullptr;
         upstream_state* state = nullptr;
-        double seconds = 0; // Expected time to the first event.
-        double score = 0;   // The same with preferences.
+        double seconds = 0;      // Expected time to the first event.
+        double score = 0;        // The same with preferences.
+        double wait_seconds = 0; // Part of them that other calls cause.
         double ahead_tokens = 0;
         std::uint32_t read_tokens = 0;
         bool local = true;
