--- /dev/null
+++ b/Tests/LibControl/manifest_store.cpp
@@ -0,0 +1,112 @@
+// Guards against a configuration that goes back, and against replicas that
+// differ after a snapshot.
+
+#include <LibControl/control_messages.hpp>
+#include <LibControl/control_state_machine.hpp>
+
+#include <doctest.h>
+
+#include <string>
+
+namespace hyssoploft::tests {
+
+namespace {
+
+using control::command_kind;
+
+std::string command(command_kind kind, const std::string& body)
+{
+    return wire::encode(
+        control::log_command{static_cast<std::uint8_t>(kind), body});
+}
+
+std::string put(std::uint64_t version, const std::string& packed)
+{
+    return command(
+        command_kind::manifest,
+        wire::encode(control::manifest_command{version, packed}));
+}
+
+std::string evacuate(const std::string& data_center, bool active)
+{
+    return command(
+        command_kind::evacuation,
+        wire::encode(control::evacuation_command{data_center, active}));
+}
+
+control::manifest_status status_of(const std::string& result)
+{
+    return wire::decode<control::manifest_status>(result).value();
+}
+
+} // namespace
+
+TEST_CASE("the highest version wins, whatever the order")
+{
+    control::control_state_machine state;
+    CHECK(status_of(state.apply(1, put(7, "seven"))).version == 7);
+    // Overtaken, resent, and other content under the version that is held.
+    CHECK(status_of(state.apply(2, put(5, "five"))).version == 7);
+    CHECK(status_of(state.apply(3, put(7, "other"))).version == 7);
+    CHECK(state.manifests().packed() == "seven");
+    CHECK(status_of(state.apply(4, put(9, "nine"))).version == 9);
+    CHECK(state.manifests().packed() == "nine");
+}
+
+TEST_CASE("evacuations count changes only")
+{
+    control::control_state_machine state;
+    state.apply(1, evacuate("a", true));
+    CHECK(
+        status_of(state.apply(2, evacuate("a", true))).evacuation_revision ==
+        1);
+    CHECK(state.manifests().evacuated().contains("a"));
+    CHECK(
+        status_of(state.apply(3, evacuate("a", false))).evacuation_revision ==
+        2);
+    CHECK(state.manifests().evacuated().empty());
+}
+
+TEST_CASE("a barrier reads what was applied before it")
+{
+    control::control_state_machine state;
+    state.apply(1, put(4, "four"));
+    CHECK(
+        status_of(state.apply(2, command(command_kind::barrier, ""))).version ==
+        4);
+}
+
+TEST_CASE("snapshots carry the manifest")
+{
+    control::control_state_machine from;
+    from.apply(1, put(4, "four"));
+    from.apply(2, evacuate("a", true));
+    control::control_state_machine to;
+    REQUIRE(to.install_snapshot(from.take_snapshot()).ok());
+    CHECK(to.manifests().status() == from.manifests().status());
+    CHECK(to.manifests().packed() == "four");
+    CHECK(to.manifests().evacuated() == from.manifests().evacuated());
+}
+
+TEST_CASE("documents survive packing, damaged ones are refused")
+{
+    std::string document;
+    for (int n = 0; n < 5000; ++n)
+    {
+        document += "{\"name\":\"route-" + std::to_string(n) + "\"},";
+    }
+    const auto packed = control::pack_document(document);
+    REQUIRE(packed.ok());
+    CHECK(packed->size() < document.size() / 3);
+    const auto back = control::unpack_document(*packed);
+    REQUIRE(back.ok());
+    CHECK(*back == document);
+    CHECK_FALSE(
+        control::unpack_document(packed->substr(0, packed->size() / 2)).ok());
+    CHECK_FALSE(control::unpack_document("no document").ok());
+    CHECK_FALSE(control::pack_document(
+                    std::string(control::max_document_bytes + 1, 'x'))
+                    .ok());
+}
+
+} // namespace hyssoploft::tests
--- a/Tests/LibControl/replica_roster.cpp
+++ b/Tests/LibControl/replica_roster.cpp
@@ -232,7 +232,7 @@
         }
         members = members.with(*change).value();
     }
-    CHECK(members.voters.size() == replica_roster::max_voters);
+    CHECK(members.voters.size() == control::roster_limits{}.max_voters);
 
     const auto lost = members.voters.back();
     const auto vm = recorded.at(lost);
@@ -250,6 +250,47 @@
     CHECK(change->replica == lost);
 }
 
+// A control VM that is replaced by another one at a new address never comes
+// back: its vote would be missing for ever.
+TEST_CASE("a caught-up learner takes the place of a voter that is gone")
+{
+    replica_roster roster(hello("v1", 1), at(0s), {3, 2500ms});
+    roster.on_hello(hello("v2", 2), at(10s));
+    roster.on_hello(hello("v3", 3), at(7s));
+    roster.on_hello(hello("v4", 4), at(10s));
+    const records recorded{{1, "v1"}, {2, "v2"}, {3, "v3"}, {4, "v4"}};
+    consensus::membership members{{1, 2, 3}, {4}};
+    // Not before the voter was silent long enough, nor without a successor.
+    CHECK_FALSE(roster.next_change(members, recorded, everybody, at(9500ms)));
+    CHECK_FALSE(roster.next_change(members, recorded, nobody, at(10s)));
+    auto change = roster.next_change(members, recorded, everybody, at(10s));
+    REQUIRE(change);
+    CHECK(change->kind == membership_change_kind::remove);
+    CHECK(change->replica == 3);
+    members = members.with(*change).value();
+    change = roster.next_change(members, recorded, everybody, at(10s));
+    REQUIRE(change);
+    CHECK(change->kind == membership_change_kind::promote);
+    CHECK(change->replica == 4);
+    members = members.with(*change).value();
+    // The old voter comes back and finds no room.
+    roster.on_hello(hello("v3", 3), at(11s));
+    change = roster.next_change(members, recorded, everybody, at(11s));
+    REQUIRE(change);
+    CHECK(change->kind == membership_change_kind::add_learner);
+    members = members.with(*change).value();
+    CHECK_FALSE(roster.next_change(members, recorded, everybody, at(11s)));
+}
+
+TEST_CASE("without a successor a voter that is gone keeps its vote")
+{
+    replica_roster roster(hello("v1", 1), at(0s), {3, 2500ms});
+    roster.on_hello(hello("v2", 2), at(60s));
+    const records recorded{{1, "v1"}, {2, "v2"}, {3, "v3"}};
+    const consensus::membership members{{1, 2, 3}, {}};
+    CHECK_FALSE(roster.next_change(members, recorded, everybody, at(60s)));
+}
+
 TEST_CASE(
     "the VM of a replica is the one that introduced it, else the recorded")
 {
--- /dev/null
+++ b/Tests/LibFleet/upstream_table.cpp
@@ -0,0 +1,130 @@
+// Guards against work for upstreams that left, and against old news that
+// bring an upstream back.
+
+#include <LibFleet/upstream_table.hpp>
+
+#include <doctest.h>
+
+using namespace hyssoploft;
+using fleet::upstream_table;
+using membership::upstream_state;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+const core::time_point start{seconds(100)};
+
+fleet::upstream_row
+row(const char* id, std::uint64_t incarnation, std::uint64_t sequence,
+    upstream_state state = upstream_state::serving)
+{
+    fleet::upstream_row out;
+    out.id = id;
+    out.address = "10.0.0.1:80";
+    out.role = "engine";
+    out.incarnation = incarnation;
+    out.sequence = sequence;
+    out.state = static_cast<std::uint8_t>(state);
+    return out;
+}
+
+upstream_state state_of(const upstream_table& table, const char* id)
+{
+    return static_cast<upstream_state>(table.entries().at(id).row.state);
+}
+
+} // namespace
+
+TEST_CASE("a renewal is no change")
+{
+    std::uint64_t changes = 0;
+    upstream_table table(changes);
+    CHECK(
+        table.announce(row("u", 1, 1), start) ==
+        upstream_table::change::described);
+    const auto before = changes;
+    CHECK(
+        table.announce(row("u", 1, 2), start + seconds(1)) ==
+        upstream_table::change::none);
+    CHECK(changes == before);
+}
+
+TEST_CASE("an upstream that left does not come back by a late announcement")
+{
+    std::uint64_t changes = 0;
+    upstream_table table(changes);
+    table.announce(row("u", 1, 5), start);
+    SUBCASE("after a leave")
+    {
+        CHECK(table.leave("u", start) == upstream_table::change::leaving);
+    }
+    SUBCASE("after it announced that it leaves")
+    {
+        CHECK(
+            table.announce(row("u", 1, 6, upstream_state::leaving), start) ==
+            upstream_table::change::leaving);
+    }
+    table.announce(row("u", 1, 4), start);
+    table.announce(row("u", 1, 7), start);
+    CHECK(state_of(table, "u") == upstream_state::leaving);
+    // A new process under the same name serves again.
+    table.announce(row("u", 2, 1), start);
+    CHECK(state_of(table, "u") == upstream_state::serving);
+}
+
+TEST_CASE("an address belongs to the upstream that started last")
+{
+    std::uint64_t changes = 0;
+    upstream_table table(changes);
+    table.announce(row("old", 1, 1), start);
+    table.announce(row("new", 2, 1), start);
+    CHECK(state_of(table, "old") == upstream_state::expired);
+    // An announcement that a partition delayed.
+    table.announce(row("old", 1, 2), start);
+    CHECK(state_of(table, "old") == upstream_state::expired);
+    CHECK(state_of(table, "new") == upstream_state::serving);
+}
+
+TEST_CASE("a silent upstream is marked, and forgotten later")
+{
+    std::uint64_t changes = 0;
+    upstream_table table(changes);
+    table.announce(row("u", 1, 1), start);
+    table.tick(start + upstream_table::silence);
+    CHECK_FALSE(table.entries().at("u").row.silent);
+    table.tick(start + upstream_table::silence + milliseconds(1));
+    CHECK(table.entries().at("u").row.silent);
+    // Another control VM hears it.
+    table.merge_heard({"u", 1, 100}, start + seconds(5));
+    CHECK_FALSE(table.entries().at("u").row.silent);
+    table.tick(start + seconds(5) + upstream_table::forget_after);
+    CHECK(table.entries().empty());
+    CHECK(table.forgotten_since(0) == std::vector<std::string>{"u"});
+}
+
+TEST_CASE("a leave that another control VM heard of is taken over")
+{
+    std::uint64_t changes = 0;
+    upstream_table table(changes);
+    table.announce(row("u", 1, 9), start);
+    CHECK(
+        table.merge(row("u", 1, 3, upstream_state::leaving), start) ==
+        upstream_table::change::leaving);
+    CHECK(state_of(table, "u") == upstream_state::leaving);
+}
+
+TEST_CASE("an upstream that turns cold is news")
+{
+    std::uint64_t changes = 0;
+    upstream_table table(changes);
+    table.announce(row("u", 1, 1), start);
+    const auto before = changes;
+    auto cold = row("u", 1, 2);
+    cold.cold_ms = 3000;
+    table.announce(cold, start);
+    CHECK(changes > before);
+    const auto rows = table.changed_since(before, start + seconds(1));
+    REQUIRE(rows.size() == 1);
+    CHECK(rows[0].cold_ms == 2000);
+}
--- /dev/null
+++ b/Tests/LibManifest/route_table.cpp
@@ -0,0 +1,66 @@
+// Guards against requests that take another route than the longest prefix.
+
+#include <LibManifest/route_table.hpp>
+
+#include <doctest.h>
+
+using namespace hyssoploft;
+
+namespace {
+
+manifest::traffic_route
+route(const char* name, const char* host, const char* prefix)
+{
+    manifest::traffic_route out;
+    out.name = name;
+    out.host = host;
+    out.path_prefix = prefix;
+    return out;
+}
+
+struct lookup_case
+{
+    const char* host;
+    const char* target;
+    const char* route; // Empty: none.
+};
+
+} // namespace
+
+TEST_CASE("the longest prefix of the host wins")
+{
+    manifest::manifest from;
+    from.routes = {
+        route("root", "a.example", "/"), route("q", "a.example", "/q/"),
+        route("deep", "a.example", "/q/deep/"), route("b", "b.example", "/q/")};
+    const manifest::route_table table(from);
+    const lookup_case cases[] = {{"a.example", "/q/1", "q"},
+                                 {"a.example:8080", "/q/deep/1?x=/q/", "deep"},
+                                 {"A.Example", "/q/deep", "q"},
+                                 {"a.example", "/quotes/1", "root"},
+                                 {"a.example", "/q", "root"},
+                                 {"b.example", "/q/1", "b"},
+                                 {"b.example", "/x/1", ""},
+                                 {"c.example", "/q/1", ""},
+                                 {"a.example", "", ""}};
+    for (const auto& it : cases)
+    {
+        CAPTURE(it.target);
+        const auto* found = table.find_route(it.host, it.target);
+        CHECK((found ? found->name : std::string()) == it.route);
+    }
+}
+
+TEST_CASE("keys find their account")
+{
+    manifest::manifest from;
+    manifest::client_account account;
+    account.name = "shop";
+    account.keys = {"k1", "k2"};
+    from.accounts.push_back(account);
+    const manifest::route_table table(from);
+    REQUIRE(table.find_account("k2"));
+    CHECK(table.find_account("k2")->name == "shop");
+    CHECK(table.find_account("k3") == nullptr);
+    CHECK(table.find_account("") == nullptr);
+}
--- /dev/null
+++ b/Tests/LibRate/shares.cpp
@@ -0,0 +1,217 @@
+// Guards the bound on rates that several grantors lease: what all VMs may use
+// together never exceeds the rate, whatever is lost, late or restarted.
+
+#include <LibRate/share_allocator.hpp>
+#include <LibRate/share_holder.hpp>
+
+#include <LibCore/random_source.hpp>
+
+#include <doctest.h>
+
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+using namespace hyssoploft;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+const core::time_point start{seconds(1000)};
+const std::map<std::string, rate::account_rate> rates{
+    {"shop", {1000.0, 1000.0, 0.0}}};
+
+rate::share_request
+request(std::uint64_t sequence, double demand, std::uint64_t applied = 0)
+{
+    rate::share_request out;
+    out.sequence = sequence;
+    out.applied = applied;
+    out.demands.push_back({"shop", static_cast<float>(demand), 0.0F});
+    return out;
+}
+
+double part_of(const rate::share_grant& it)
+{
+    return it.shares.empty() ? 0.0 : it.shares.front().part;
+}
+
+} // namespace
+
+TEST_CASE("parts follow demand and never add up to more than one")
+{
+    rate::share_allocator allocator(start, true);
+    CHECK(
+        part_of(allocator.handle("a", 1, request(1, 500), 1, start)) ==
+        doctest::Approx(1.0));
+    // All of it is leased to the first VM until it applies a smaller part.
+    CHECK(part_of(allocator.handle("b", 1, request(1, 500), 1, start)) == 0.0);
+    const auto smaller =
+        part_of(allocator.handle("a", 1, request(2, 500), 1, start));
+    CHECK(smaller == doctest::Approx(0.5));
+    CHECK(part_of(allocator.handle("b", 1, request(2, 500), 1, start)) == 0.0);
+    allocator.handle("a", 1, request(3, 500, 2), 1, start);
+    CHECK(
+        part_of(allocator.handle("b", 1, request(3, 500), 1, start)) ==
+        doctest::Approx(0.5));
+    CHECK(allocator.outstanding("shop", start) <= 1.0 + 1e-6);
+}
+
+TEST_CASE("the lease of a VM that is gone ends")
+{
+    rate::share_allocator allocator(start, true);
+    allocator.handle("a", 1, request(1, 500), 1, start);
+    const auto later =
+        start + rate::share_lease_time_at_grantor + milliseconds(1);
+    CHECK(
+        part_of(allocator.handle("b", 1, request(1, 500), 1, later)) ==
+        doctest::Approx(1.0));
+}
+
+TEST_CASE("a restarted process does not get what the earlier one holds")
+{
+    rate::share_allocator allocator(start, true);
+    allocator.handle("a", 1, request(1, 500), 1, start);
+    CHECK(part_of(allocator.handle("a", 2, request(1, 500), 1, start)) == 0.0);
+}
+
+TEST_CASE("a grantor that starts again gives out a part of its rate only")
+{
+    rate::share_allocator allocator(start, false);
+    CHECK(part_of(allocator.handle("a", 1, request(1, 500), 1, start)) < 0.4);
+    // A VM keeps what it holds from the earlier process.
+    auto holder = request(2, 500);
+    holder.demands[0].held = 0.5F;
+    CHECK(
+        part_of(allocator.handle("a", 1, holder, 1, start)) ==
+        doctest::Approx(0.5));
+    const auto later = start + rate::share_lease_time_at_grantor;
+    CHECK(
+        part_of(allocator.handle("a", 1, request(3, 500), 1, later)) ==
+        doctest::Approx(1.0));
+}
+
+TEST_CASE("an old request and a repeated one get no grant")
+{
+    rate::share_allocator allocator(start, true);
+    allocator.handle("a", 1, request(2, 500), 1, start);
+    CHECK(allocator.handle("a", 1, request(2, 500), 1, start).sequence == 0);
+    CHECK(allocator.handle("a", 1, request(1, 500), 1, start).sequence == 0);
+}
+
+TEST_CASE("a holder uses a lease until it ends, counted from its request")
+{
+    rate::share_holder holder;
+    holder.install(rates, 0, 1, start);
+    const auto asked = holder.build_request("g", start);
+    rate::share_grant grant;
+    grant.sequence = asked.sequence;
+    grant.grantors = 2;
+    grant.shares = {{"shop", 1.0F}};
+    CHECK(holder.apply("g", grant, start + milliseconds(500)));
+    CHECK(
+        holder.share("shop", start + milliseconds(500)) ==
+        doctest::Approx(0.5));
+    CHECK(holder.share("shop", start + rate::share_lease_time) == 0.0);
+    // The same grant again, and one for a request that was never sent.
+    CHECK_FALSE(holder.apply("g", grant, start + milliseconds(600)));
+    grant.sequence += 5;
+    CHECK_FALSE(holder.apply("g", grant, start + milliseconds(600)));
+}
+
+TEST_CASE("a large prompt of a small account fits into the extra burst")
+{
+    rate::share_holder holder;
+    holder.install(rates, 9000, 2, start);
+    const auto asked = holder.build_request("g", start);
+    rate::share_grant grant;
+    grant.sequence = asked.sequence;
+    grant.grantors = 1;
+    grant.shares = {{"shop", 1.0F}};
+    REQUIRE(holder.apply("g", grant, start));
+    CHECK_FALSE(holder.reserve("shop", 4000, start + seconds(1)).granted);
+    // Renewed leases let the credit grow to half of burst and extra burst.
+    auto now = start;
+    for (int n = 0; n < 10; ++n)
+    {
+        now += seconds(1);
+        grant.sequence = holder.build_request("g", now).sequence;
+        REQUIRE(holder.apply("g", grant, now));
+    }
+    CHECK(holder.reserve("shop", 4000, now).granted);
+    CHECK_FALSE(holder.reserve("shop", 4000, now).granted);
+}
+
+// Three grantors and four VMs; messages are lost and late, VMs and grantors
+// restart. All VMs take whatever they can.
+TEST_CASE("what all VMs take stays within rate and burst over any window")
+{
+    constexpr int vm_count = 4;
+    constexpr int grantor_count = 3;
+    constexpr int steps = 600;
+    constexpr milliseconds step{100};
+    constexpr int window = 80; // Steps of 8 s.
+    // A restart adds the first credit of a VM and the part that a grantor
+    // gives out meanwhile; both lie within the stated tenth.
+    constexpr double bound = 1.1 * (1000.0 * 8 + 1000.0);
+    for (std::uint64_t seed = 1; seed <= 20; ++seed)
+    {
+        CAPTURE(seed);
+        core::seeded_random random(seed);
+        std::vector<std::unique_ptr<rate::share_allocator>> grantors;
+        for (int n = 0; n < grantor_count; ++n)
+        {
+            grantors.push_back(
+                std::make_unique<rate::share_allocator>(start, true));
+        }
+        std::vector<std::unique_ptr<rate::share_holder>> vms;
+        for (int n = 0; n < vm_count; ++n)
+        {
+            vms.push_back(std::make_unique<rate::share_holder>());
+            vms.back()->install(rates, 0, vm_count, start);
+        }
+        std::vector<double> taken(steps, 0.0);
+        auto now = start;
+        for (int n = 0; n < steps; ++n)
+        {
+            now += step;
+            for (int v = 0; v < vm_count; ++v)
+            {
+                const auto g = random.below(grantor_count);
+                const auto name = std::to_string(g);
+                const auto asked = vms[v]->build_request(name, now);
+                if (random.below(10) < 7)
+                {
+                    const auto grant = grantors[g]->handle(
+                        std::to_string(v), 1, asked, grantor_count, now);
+                    if (random.below(10) < 8)
+                    {
+                        vms[v]->apply(name, grant, now + milliseconds(50));
+                    }
+                }
+                const double wanted = 20.0 + random.uniform() * 200.0;
+                while (vms[v]->reserve("shop", wanted, now).granted)
+                {
+                    taken[n] += wanted;
+                }
+            }
+            if (n % 200 == 150)
+            {
+                const auto g = random.below(grantor_count);
+                grantors[g] =
+                    std::make_unique<rate::share_allocator>(now, false);
+            }
+        }
+        for (int first = 0; first + window < steps; ++first)
+        {
+            double sum = 0;
+            for (int n = first; n < first + window; ++n)
+            {
+                sum += taken[n];
+            }
+            REQUIRE(sum <= bound);
+        }
+    }
+}
--- /dev/null
+++ b/Tests/platform/manifest_document.cpp
@@ -0,0 +1,96 @@
+// Guards against configuration documents that are misread or read in part.
+
+#include <platform/manifest_document.hpp>
+
+#include <doctest.h>
+
+#include <string>
+
+using namespace hyssoploft;
+using manifest::repeat_kind;
+
+namespace {
+
+const std::string sound = R"({"version":7,"routes":[
+{"name":"r1","host":"a.example","path-prefix":"/q/","kind":"streaming",
+"timeout-ms":3000,"target-latency-ms":600,"priority":0,"service":"s1",
+"max-attempts":2,"public":false,"resumable":true,"gap-target-ms":600,
+"home-regions":["east"]},
+{"name":"r2","host":"a.example","path-prefix":"/b/","kind":"unsafe",
+"timeout-ms":1200.5,"traffic-split":[{"service":"s1","weight":90},
+{"service":"s2","weight":10}],"public":true}],
+"services":[{"name":"s1","health-path":"/healthz","max-conns":360,
+"cold-per-s":4.1,"engine":{"slots":64,"kv-capacity":587510,"stride":8}},
+{"name":"s2"}],
+"limits":{"max-header-bytes":16384,"idle-timeout-ms":15000},
+"tenants":[{"name":"t1","api-keys":["k1","k2"],"priority":1,"unit":"tokens",
+"plain-tokens":200,"rate-per-s":1000,"burst":500}],"unknown":{}})";
+
+} // namespace
+
+TEST_CASE("a document is decoded into named fields")
+{
+    const auto out = platform::manifest_document().decode(sound);
+    REQUIRE(out.ok());
+    CHECK(out->version == 7);
+    REQUIRE(out->routes.size() == 2);
+    const auto& first = out->routes[0];
+    CHECK(first.repeat == repeat_kind::resumable_stream);
+    CHECK(first.timeout == std::chrono::seconds(3));
+    CHECK(first.latency_target == std::chrono::milliseconds(600));
+    CHECK(first.max_attempts == 2);
+    CHECK(first.homes == std::set<std::string>{"east"});
+    REQUIRE(first.roles.size() == 1);
+    CHECK(first.roles[0].role == "s1");
+    const auto& second = out->routes[1];
+    CHECK(second.repeat == repeat_kind::at_most_once);
+    CHECK(second.open);
+    REQUIRE(second.roles.size() == 2);
+    CHECK(second.roles[1].weight == 10);
+    REQUIRE(out->roles.size() == 2);
+    CHECK(out->roles[0].is_engine);
+    CHECK(out->roles[0].engine.memory_tokens == 587510);
+    CHECK_FALSE(out->roles[1].is_engine);
+    REQUIRE(out->accounts.size() == 1);
+    CHECK(out->accounts[0].keys.size() == 2);
+    CHECK(out->accounts[0].plain_tokens == 200);
+    CHECK_FALSE(out->accounts[0].counts_requests);
+    CHECK(out->limits.idle_timeout == std::chrono::seconds(15));
+}
+
+TEST_CASE("a document that can't be read in full is refused")
+{
+    struct document_case
+    {
+        const char* from;
+        const char* to;
+    };
+    const document_case cases[] = {
+        {"\"version\":7", "\"version\":\"7\""},
+        {"\"version\":7,", ""},
+        {"\"kind\":\"unsafe\"", "\"kind\":\"odd\""},
+        {"\"host\":\"a.example\",", ""},
+        {"\"timeout-ms\":3000", "\"timeout-ms\":\"long\""},
+        {"\"home-regions\":[\"east\"]", "\"home-regions\":[1]"},
+        {"\"api-keys\":[\"k1\",\"k2\"]", "\"api-keys\":[1]"},
+        {"\"service\":\"s1\",", ""},
+        {"\"unknown\":{}}", "\"unknown\":{}"},
+        {"\"tenants\":[", "\"tenants\":{},\"x\":["}};
+    for (const auto& it : cases)
+    {
+        CAPTURE(it.to);
+        auto broken = sound;
+        const auto at = broken.find(it.from);
+        REQUIRE(at != std::string::npos);
+        broken.replace(at, std::string(it.from).size(), it.to);
+        CHECK(
+            platform::manifest_document().decode(broken).status().code() ==
+            absl::StatusCode::kInvalidArgument);
+    }
+    // Cut at any place.
+    for (std::size_t n = 0; n < sound.size(); n += 13)
+    {
+        CHECK_FALSE(
+            platform::manifest_document().decode(sound.substr(0, n)).ok());
+    }
+}
