LibRelay: Repeat resumable streams after an upstream's own failure

Change: repeat_rules holds the decision for all kinds; relay_run asks it at every failure. Ruled out: health: the upstreams' health answers were good.

--- a/Libraries/LibControl/replica_roster.cpp
+++ b/Libraries/LibControl/replica_roster.cpp
@@ -192,34 +192,34 @@
         return consensus::membership_change{
             membership_change_kind::remove, *gone};
     }
+    // Learners that can vote come before new ones.
     for (const auto& [vm, it] : by_vm_)
     {
         const auto id = it.hello.replica;
-        if (!is_fresh(it, now) || members.is_voter(id))
-        {
-            continue;
-        }
-        // A replica is recorded first, so that every later leader knows the
-        // one that it replaces.
-        if (!recorded.contains(id))
-        {
-            continue;
-        }
-        if (!members.is_learner(id))
-        {
-            return consensus::membership_change{
-                membership_change_kind::add_learner, id};
-        }
         // One more voter than the maximum is allowed while one is replaced.
         const bool room = members.voters.size() < limits_.max_voters ||
                           (members.voters.size() == limits_.max_voters &&
                            replaces_a_voter(vm, members, recorded));
-        if (room && is_caught_up(id))
+        if (is_fresh(it, now) && members.is_learner(id) && room &&
+            is_caught_up(id))
         {
             return consensus::membership_change{
                 membership_change_kind::promote, id};
         }
     }
+    for (const auto& [vm, it] : by_vm_)
+    {
+        const auto id = it.hello.replica;
+        const bool known = members.is_voter(id) || members.is_learner(id);
+        // A replica is recorded first, so that every later leader knows the
+        // one that it replaces.
+        if (!known && is_fresh(it, now) && !is_gone(id, recorded, now) &&
+            recorded.contains(id))
+        {
+            return consensus::membership_change{
+                membership_change_kind::add_learner, id};
+        }
+    }
     return std::nullopt;
 }
 
--- a/Libraries/LibRelay/relay_run.cpp
+++ b/Libraries/LibRelay/relay_run.cpp
@@ -16,8 +16,6 @@
 using gateway::refusal_reason;
 using routing::call_end;
 
-/// A request is sent to so many places at most, also where it did not run.
-constexpr std::uint32_t max_tries = 4;
 /// Less time than this is not worth a call: a round trip and a short step.
 constexpr std::chrono::milliseconds min_time_left{20};
 /// Time kept for passing on the final answer.
@@ -134,7 +132,7 @@
     }
     --services_.running;
     caller_.on_caller_gone(nullptr);
-    if (terms_.reserved && runs_ == 0)
+    if (terms_.reserved && so_far_.runs == 0)
     {
         services_.rates->settle(*terms_.reserved, 0, services_.clock->now());
     }
@@ -145,9 +143,7 @@
 relay_run::first_answer_limit(const routing::placement& where) const
 {
     const auto left = time_left();
-    const bool repeatable =
-        is_resumable() || terms_.repeat == manifest::repeat_kind::idempotent;
-    if (!repeatable || !may_run_again() || terms_.relayed)
+    if (!may_run_again())
     {
         return left;
     }
@@ -161,8 +157,7 @@
 std::chrono::nanoseconds relay_run::pause_limit() const
 {
     const auto left = time_left();
-    if (!is_resumable() || !may_run_again() ||
-        terms_.pause_target <= core::duration())
+    if (!may_run_again() || terms_.pause_target <= core::duration())
     {
         return left;
     }
@@ -173,7 +168,8 @@
 
 bool relay_run::may_run_again() const
 {
-    return runs_ < terms_.max_runs && tries_ < max_tries;
+    return !terms_.relayed &&
+           relay::may_run_again(terms_.repeat, terms_.max_runs, so_far_);
 }
 
 bool relay_run::take_repeat()
@@ -184,7 +180,7 @@
 http::asio::awaitable<relay_run::next_step> relay_run::attempt(
     const fleet::traffic_view& view, const routing::placement& where)
 {
-    ++tries_;
+    ++so_far_.tries;
     upstream_attempt call(services_, terms_, caller_.pool());
     current_ = &call;
     const auto limit = first_answer_limit(where);
@@ -200,7 +196,7 @@
         core::name_of(routing::placement_reason_names, where.reason));
     if (result.run != run_knowledge::not_run)
     {
-        ++runs_;
+        ++so_far_.runs;
     }
     if (result.run != run_knowledge::answered)
     {
@@ -236,20 +232,15 @@
     {
         excluded_regions_.insert(at.region);
     }
-    if (terms_.relayed || tries_ >= max_tries)
-    {
-        return next_step::give_up;
-    }
     if (result.run == run_knowledge::not_run)
     {
         // A call that reached nobody is no repeat for the upstreams.
-        return !result.reached || take_repeat() ? next_step::again
-                                                : next_step::give_up;
+        const bool again = !terms_.relayed && may_send_again(so_far_) &&
+                           (!result.reached || take_repeat());
+        return again ? next_step::again : next_step::give_up;
     }
-    const bool repeatable =
-        is_resumable() || terms_.repeat == manifest::repeat_kind::idempotent;
-    return repeatable && may_run_again() && take_repeat() ? next_step::again
-                                                          : next_step::give_up;
+    return may_run_again() && take_repeat() ? next_step::again
+                                            : next_step::give_up;
 }
 
 http::asio::awaitable<relay_run::next_step>
@@ -266,22 +257,16 @@
             outcome_ = "caller_gone";
             co_return next_step::done;
         }
-        const bool repeatable =
-            terms_.repeat == manifest::repeat_kind::idempotent &&
-            !terms_.relayed;
-        co_return repeatable&& may_run_again() && take_repeat()
-            ? next_step::again
-            : next_step::give_up;
+        co_return may_run_again() && take_repeat() ? next_step::again
+                                                   : next_step::give_up;
     }
     http::response answer(from.head().result(), 11);
     services_.codec->copy_answer_headers(from.head(), answer.base());
     answer.body() = *std::move(body);
     const bool failed = answer.result_int() >= 500;
     end_ = failed ? call_end::errored : call_end::completed;
-    const bool again = failed && !terms_.relayed &&
-                       terms_.repeat == manifest::repeat_kind::idempotent &&
-                       may_run_again() && time_left() > min_time_left &&
-                       take_repeat();
+    const bool again = failed && may_run_again() &&
+                       time_left() > min_time_left && take_repeat();
     if (again)
     {
         failure_ = std::move(answer);
@@ -328,9 +313,8 @@
                 outcome_ = "caller_gone";
                 co_return next_step::done;
             }
-            const bool again = is_resumable() && !terms_.relayed &&
-                               may_run_again() && time_left() > min_time_left &&
-                               take_repeat();
+            const bool again =
+                may_run_again() && time_left() > min_time_left && take_repeat();
             co_return again ? next_step::again : next_step::give_up;
         }
         if (!caller_.answer_started() && (ended || !events->empty()))
@@ -384,7 +368,7 @@
         (void)co_await caller_.respond(*std::move(failure_));
         co_return;
     }
-    if (runs_ > 0)
+    if (so_far_.runs > 0)
     {
         const bool late = time_left() < min_time_left;
         co_await refuse(gateway::make_refusal(
@@ -436,7 +420,7 @@
         .with("relayed", terms_.relayed ? 1 : 0)
         .with("outcome", outcome_)
         .with("status", status_)
-        .with("runs", runs_)
+        .with("runs", so_far_.runs)
         .with("tried", attempts_text_)
         .with("events", framer_.events())
         .with(
--- a/Libraries/LibRelay/relay_run.hpp
+++ b/Libraries/LibRelay/relay_run.hpp
@@ -6,6 +6,7 @@
 
 #include <LibHttp/exchange.hpp>
 #include <LibRelay/event_framer.hpp>
+#include <LibRelay/repeat_rules.hpp>
 #include <LibRelay/upstream_attempt.hpp>
 
 #include <memory>
@@ -63,8 +64,7 @@
     std::set<std::string> excluded_regions_;
     upstream_attempt* current_ = nullptr; // While one runs.
     std::uint64_t ticket_ = 0;            // Of the current placement.
-    std::uint32_t tries_ = 0;             // All attempts.
-    std::uint32_t runs_ = 0;              // Attempts that may have run.
+    attempts_so_far so_far_;
     /// An upstream's own failure, which the caller gets if no repeat helps.
     std::optional<http::response> failure_;
     routing::call_end end_ = routing::call_end::cancelled; // Of the last one.
