--- a/Meta/check-style.sh
+++ b/Meta/check-style.sh
@@ -67,6 +67,13 @@
     "${tests[@]}" | sed 's/^\([^:]*:[0-9]*\):\(.*\)/\1: real time or chance:\2/' \
     >>"$findings" || true
 
+# The users' platform has names of its own, which only its adapter knows.
+grep -nHE 'Hyssoploft-[A-Z]|beat-addr|Config\.(Put|Get)|Instances\.(Heartbeat|Deregister)|Evacuation\.(Start|End)|kv-total|target-latency-ms|cold-left-ms' \
+    $(git ls-files --cached --others --exclude-standard \
+        'Libraries/*' 'Services/*' 'Utilities/*') |
+    sed 's/^\([^:]*:[0-9]*\):.*/\1: a name of the platform outside platform\//' \
+        >>"$findings" || true
+
 Meta/make-manual.sh --check >>"$findings" || true
 
 if [ -s "$findings" ]; then
--- a/Meta/lint.sh
+++ b/Meta/lint.sh
@@ -22,7 +22,7 @@
 export -f lint_one
 if [ $# -gt 0 ]; then files=("$@"); else
     mapfile -t files < <(git ls-files --cached --others --exclude-standard \
-        'Libraries/*.cpp' 'Services/*.cpp' 'Utilities/*.cpp')
+        'Libraries/*.cpp' 'Services/*.cpp' 'Utilities/*.cpp' 'platform/*.cpp')
 fi
 printf '%s\n' "${files[@]}" |
     xargs -r -P "${HYSSOPLOFT_JOBS:-$(nproc)}" -I{} bash -c 'lint_one {}'
