LibRelay, LibRouting, Meta: Satisfy the linter and lint the adapter

Cause: two unused declarations; the linter's record of files that passed did not see headers of platform/. Change: both removed; lint.sh also covers platform/ and its include folder.

--- a/Libraries/LibRelay/relay_run.cpp
+++ b/Libraries/LibRelay/relay_run.cpp
@@ -12,7 +12,6 @@
 
 namespace {
 
-using gateway::not_run;
 using gateway::refusal_reason;
 using routing::call_end;
 
--- a/Libraries/LibRouting/backlog_router.cpp
+++ b/Libraries/LibRouting/backlog_router.cpp
@@ -15,7 +15,6 @@
 namespace {
 
 using membership::upstream_record;
-using membership::upstream_state;
 
 /// Weight of the newest observation in smoothed values.
 constexpr double observation_weight = 0.05;
--- a/Meta/lint.sh
+++ b/Meta/lint.sh
@@ -12,7 +12,7 @@
 config=$(sha256sum .clang-tidy | cut -c1-16)
 export config
 lint_one() {
-    key=$(clang++-14 -std=c++20 -E -P -I Libraries -w "$1" 2>/dev/null | sha256sum | cut -c1-40)
+    key=$(clang++-14 -std=c++20 -E -P -I Libraries -I . -w "$1" 2>/dev/null | sha256sum | cut -c1-40)
     mark=$cache/$config-$key
     [ -e "$mark" ] && return 0
     out=$(clang-tidy -quiet -p "$build" \
