--- a/Libraries/LibControl/fleet_control.cpp
+++ b/Libraries/LibControl/fleet_control.cpp
@@ -31,6 +31,8 @@
 /// nothing is served before an election.
 constexpr std::chrono::milliseconds election_timeout_min{700};
 constexpr std::chrono::milliseconds election_timeout_max{1400};
+/// Ages in the published snapshot, such as silence, change without news.
+constexpr std::chrono::milliseconds build_interval{500};
 /// A connection that gets no acknowledgement is replaced.
 constexpr std::chrono::milliseconds handshake_timeout{1000};
 constexpr std::chrono::milliseconds max_reconnect_pause{500};
@@ -41,7 +43,7 @@
     const fleet_options& options,
     std::shared_ptr<const manifest::manifest_codec> codec,
     std::shared_ptr<core::clock> clock,
-    std::shared_ptr<core::random_source> random, telemetry::metrics&)
+    std::shared_ptr<core::random_source> random)
 {
     std::shared_ptr<fleet_control> it(new fleet_control(
         options, std::move(codec), std::move(clock), std::move(random)));
@@ -175,7 +177,7 @@
     sync_peers();
     if (now >= next_build_ || changed_)
     {
-        next_build_ = now + std::chrono::milliseconds(500);
+        next_build_ = now + build_interval;
         rebuild_view();
         publish();
     }
--- a/Libraries/LibControl/fleet_control.hpp
+++ b/Libraries/LibControl/fleet_control.hpp
@@ -19,7 +19,6 @@
 #include <LibManifest/manifest_codec.hpp>
 #include <LibRate/share_allocator.hpp>
 #include <LibRate/share_holder.hpp>
-#include <LibTelemetry/metrics.hpp>
 #include <LibWire/peer_transport.hpp>
 
 #include <boost/asio/executor_work_guard.hpp>
@@ -68,8 +67,7 @@
         const fleet_options& options,
         std::shared_ptr<const manifest::manifest_codec> codec,
         std::shared_ptr<core::clock> clock,
-        std::shared_ptr<core::random_source> random,
-        telemetry::metrics& metrics);
+        std::shared_ptr<core::random_source> random);
 
     ~fleet_control() override;
 
--- a/Libraries/LibFleet/view_merger.cpp
+++ b/Libraries/LibFleet/view_merger.cpp
@@ -49,6 +49,9 @@
     return out;
 }
 
+/// Longer than any cut that a control VM comes back from with its tables.
+constexpr std::chrono::seconds source_memory{60};
+
 // The better of two descriptions of one VM: the newest process, and of that
 // one the live state.
 bool is_better(const vm_record& a, const vm_record& b)
@@ -98,7 +101,7 @@
     }
     loads_ = it.loads;
     std::erase_if(sources_, [now](const auto& other) {
-        return now - other.second.heard > std::chrono::seconds(60);
+        return now - other.second.heard > source_memory;
     });
 }
 
--- a/Services/hyssoploft/fleet_process.cpp
+++ b/Services/hyssoploft/fleet_process.cpp
@@ -164,8 +164,7 @@
     out.keys.current = {fleet_key_id, options_.fleet_key};
     out.incarnation = random_->next() | 1U;
     auto created = control::fleet_control::create(
-        out, std::make_shared<platform::manifest_document>(), clock_, random_,
-        metrics_);
+        out, std::make_shared<platform::manifest_document>(), clock_, random_);
     if (!created.ok())
     {
         return created.status();
