LibRate, LibControl: Lend credit from pools at the grantors

Cause: the burst of an account was divided evenly between entry VMs.

Change: half of each rate and 0.6 of each burst lie in pools at the voters. A VM whose own credit does not cover a request borrows the rest, first from the voters of its region, then from all others at once. VMs return credit they have no room for with their next exchange. The number of voters is kept as a small table instead of one entry for each exchange.

--- a/Libraries/LibControl/fleet_control.cpp
+++ b/Libraries/LibControl/fleet_control.cpp
@@ -110,6 +110,7 @@
         replica_ = *std::move(created);
         allocator_ = std::make_unique<rate::share_allocator>(
             started_, options_.first_start);
+        pool_ = std::make_unique<rate::credit_pool>(options_.first_start);
     }
     proposals_ = std::make_unique<proposal_client>(
         *transport_, *this, replica_.get(), *clock_);
@@ -210,6 +211,9 @@
     case message_type::fleet_notice:
         on_notice(it);
         return;
+    case message_type::loan_request:
+        serve_loan(it);
+        return;
     default:
         return;
     }
--- a/Libraries/LibControl/fleet_control.hpp
+++ b/Libraries/LibControl/fleet_control.hpp
@@ -17,6 +17,9 @@
 #include <LibFleet/view_merger.hpp>
 #include <LibFleet/vm_table.hpp>
 #include <LibManifest/manifest_codec.hpp>
+#include <LibRate/credit_lender.hpp>
+#include <LibRate/credit_pool.hpp>
+#include <LibRate/loan_search.hpp>
 #include <LibRate/share_allocator.hpp>
 #include <LibRate/share_holder.hpp>
 #include <LibWire/peer_transport.hpp>
@@ -57,6 +60,7 @@
 };
 
 class fleet_control final : public fleet::traffic_source,
+                            public rate::credit_lender,
                             public replica_environment,
                             public fleet_source
 {
@@ -101,6 +105,10 @@
     /// Calls of this VM, for the next reports.
     void set_loads(std::vector<fleet::load_row> loads) override;
 
+    /// Asks the grantors for credit of an account.
+    void borrow(
+        const std::string& account, double tokens, loan_handler done) override;
+
     void set_ready(bool ready)
     {
         ready_ = ready;
@@ -170,6 +178,18 @@
     std::string peer_address_of(const std::string& vm) const;
     void send_hello();
 
+    // Credit of accounts (fleet_control_credit.cpp).
+    struct running_loan;
+    std::uint32_t grantors_now(core::time_point now);
+    void return_credit(
+        const fleet::sync_request& it, const rate::share_grant& granted,
+        core::time_point now);
+    void
+    start_loan(const std::string& account, double tokens, loan_handler done);
+    void ask_round(const std::shared_ptr<running_loan>& it);
+    void finish_loan(const running_loan& it);
+    void serve_loan(const wire::incoming_message& it);
+
     // Publication (fleet_control_view.cpp).
     void rebuild_view();
     void publish();
@@ -207,8 +227,12 @@
     fleet::upstream_table upstreams_{changes_};
     fleet::load_table loads_;
     std::unique_ptr<rate::share_allocator> allocator_;
+    std::unique_ptr<rate::credit_pool> pool_; // Null without a replica.
+    /// Accounts that no grantor lent anything for, and until when that holds.
+    std::map<std::string, core::time_point> no_loan_until_;
     core::time_point started_{};
-    std::map<core::time_point, std::uint32_t> voter_counts_; // Lately.
+    /// Numbers of voters that held lately, and when each one held last.
+    std::map<std::uint32_t, core::time_point> voter_counts_;
 
     std::vector<std::string> seeds_;         // VMs.
     std::map<std::string, sync_peer> peers_; // By VM.
--- a/Libraries/LibControl/fleet_control_sync.cpp
+++ b/Libraries/LibControl/fleet_control_sync.cpp
@@ -27,8 +27,6 @@
 constexpr std::chrono::seconds settle_time{4};
 /// Announcements that are passed on between control VMs.
 constexpr std::chrono::seconds heard_window{2};
-/// After a change of the voters, grants of both divisions are in force.
-constexpr std::chrono::seconds voter_count_memory{10};
 
 struct fleet_notice
 {
@@ -246,23 +244,12 @@
     if (!request->self.entry_address.empty())
     {
         loads_.report(request->self.id, request->loads, now);
-        // Each voter owns one part of every rate. While the number of voters
-        // changes, the larger number of the last seconds divides the rates.
-        const auto& members = replica_->node().members();
-        voter_counts_[now] = static_cast<std::uint32_t>(members.voters.size());
-        std::erase_if(voter_counts_, [now](const auto& counted) {
-            return now - counted.first > voter_count_memory;
-        });
-        std::uint32_t grantors = 0;
-        for (const auto& [at, n] : voter_counts_)
-        {
-            grantors = std::max(grantors, n);
-        }
-        if (members.is_voter(replica_->node().self()))
+        if (const auto grantors = grantors_now(now); grantors > 0)
         {
             answer.shares = allocator_->handle(
                 request->self.id, request->self.incarnation, request->shares,
                 grantors, now);
+            return_credit(*request, answer.shares, now);
         }
     }
     (void)transport_->respond(
--- a/Libraries/LibControl/fleet_control_view.cpp
+++ b/Libraries/LibControl/fleet_control_view.cpp
@@ -139,23 +139,20 @@
     {
         return;
     }
-    if (!options_.entry_address.empty())
+    const auto document = unpack_document(packed);
+    auto decoded =
+        document.ok() ? codec_->decode(*document) : document.status();
+    if (!decoded.ok())
     {
-        const auto document = unpack_document(packed);
-        auto decoded =
-            document.ok() ? codec_->decode(*document) : document.status();
-        if (!decoded.ok())
-        {
-            // It was checked before it was logged: another build wrote it.
-            LOG(ERROR) << core::log_line("manifest_unreadable")
-                              .with("version", version)
-                              .with("error", decoded.status().ToString());
-            return;
-        }
-        decoded->version = version;
-        routes_ =
-            std::make_shared<const manifest::route_table>(*std::move(decoded));
+        // It was checked before it was logged: another build wrote it.
+        LOG(ERROR) << core::log_line("manifest_unreadable")
+                          .with("version", version)
+                          .with("error", decoded.status().ToString());
+        return;
     }
+    decoded->version = version;
+    routes_ =
+        std::make_shared<const manifest::route_table>(*std::move(decoded));
     manifest_version_ = version;
     packed_ = packed;
     install_rates();
@@ -178,6 +175,10 @@
             rates[it.name] = {it.tokens_per_second, it.burst_tokens, 0.0};
         }
     }
+    if (pool_)
+    {
+        pool_->install(rates, options_.extra_burst_tokens, clock_->now());
+    }
     holder_->install(
         rates, options_.extra_burst_tokens,
         static_cast<std::uint32_t>(entry_vms_.size()), clock_->now());
--- a/Libraries/LibHttp/exchange.hpp
+++ b/Libraries/LibHttp/exchange.hpp
@@ -44,7 +44,7 @@
         return remote_;
     }
 
-    asio::any_io_executor executor()
+    asio::any_io_executor executor() const
     {
         return stream_.get_executor();
     }
--- a/Libraries/LibRate/rate_limiter.hpp
+++ b/Libraries/LibRate/rate_limiter.hpp
@@ -39,6 +39,16 @@
     virtual reserve_result reserve(
         const std::string& account, double tokens, core::time_point now) = 0;
 
+    /// The same with `lent` tokens that were borrowed for this request; what
+    /// is left of them is not lost. By default nothing can be borrowed.
+    virtual reserve_result reserve_with_loan(
+        const std::string& account, double tokens, double lent,
+        core::time_point now)
+    {
+        (void)lent;
+        return reserve(account, tokens, now);
+    }
+
     /// Gives back what was reserved but not used. Credit of a period that has
     /// ended is not given back.
     virtual void settle(
--- a/Libraries/LibRate/share_holder.cpp
+++ b/Libraries/LibRate/share_holder.cpp
@@ -2,8 +2,11 @@
 
 #include <LibRate/share_holder.hpp>
 
+#include <LibRate/credit_split.hpp>
+
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 namespace hyssoploft::rate {
 
@@ -36,7 +39,7 @@
     {
         const auto [found, added] = accounts_.try_emplace(name, now);
         auto& it = found->second;
-        it.bucket.advance(now);
+        it.excess += it.bucket.advance(now);
         it.declared = declared;
         configure(name, it, now);
         if (added)
@@ -67,8 +70,10 @@
     const double part = share_of(name, now);
     // The clock may be 1% fast; accrual must not exceed the rate in true time.
     it.bucket.configure(
-        part * it.declared.tokens_per_second / clock_drift,
-        (it.declared.burst_tokens + extra_burst_) / vms_);
+        (1.0 - pool_rate_share) * part * it.declared.tokens_per_second /
+            clock_drift,
+        (1.0 - pool_burst_share) * (it.declared.burst_tokens + extra_burst_) /
+            vms_);
 }
 
 void share_holder::measure_demand(core::time_point now)
@@ -110,14 +115,19 @@
         return now - it.second > share_lease_time;
     });
     const bool in_force = now < own.end;
-    for (const auto& [name, it] : accounts_)
+    for (auto& [name, it] : accounts_)
     {
         const auto held = own.parts.find(name);
+        it.excess += it.bucket.advance(now);
+        // Only a grantor whose lease is in force is known to be one. What a
+        // lost request carries is not returned again.
+        const double returned = in_force ? std::exchange(it.excess, 0.0) : 0.0;
         out.demands.push_back(
             {name, static_cast<float>(it.demand),
              in_force && held != own.parts.end()
                  ? static_cast<float>(held->second)
-                 : 0.0F});
+                 : 0.0F,
+             static_cast<float>(returned)});
     }
     return out;
 }
@@ -136,7 +146,7 @@
     }
     for (auto& [name, it] : accounts_)
     {
-        it.bucket.advance(now);
+        it.excess += it.bucket.advance(now);
     }
     own.applied = grant.sequence;
     own.end = sent->second + share_lease_time;
@@ -164,12 +174,35 @@
         out.retry_after = retry_after_renewal;
         return out;
     }
-    auto& it = found->second;
-    it.asked += tokens;
-    it.bucket.advance(now);
+    found->second.asked += tokens;
+    return take(account, found->second, tokens, 0, now);
+}
+
+reserve_result share_holder::reserve_with_loan(
+    const std::string& account, double tokens, double lent,
+    core::time_point now)
+{
+    const std::lock_guard lock(mutex_);
+    reserve_result out;
+    const auto found = accounts_.find(account);
+    if (found == accounts_.end())
+    {
+        out.retry_after = retry_after_renewal;
+        return out;
+    }
+    return take(account, found->second, tokens, lent, now);
+}
+
+reserve_result share_holder::take(
+    const std::string& account, account_state& it, double tokens, double lent,
+    core::time_point now)
+{
+    reserve_result out;
+    it.excess += it.bucket.advance(now);
     configure(account, it, now);
-    if (it.bucket.take(tokens))
+    if (it.bucket.take(std::max(0.0, tokens - lent)))
     {
+        it.excess += it.bucket.add(std::max(0.0, lent - tokens));
         out.granted = true;
         out.taken = {account, tokens, it.bucket.epoch()};
         return out;
@@ -178,6 +211,7 @@
     out.share = share_of(account, now);
     out.retry_after = std::min<core::duration>(
         it.bucket.wait_for(tokens), retry_after_renewal);
+    it.excess += it.bucket.add(lent);
     return out;
 }
 
@@ -190,8 +224,9 @@
     {
         return;
     }
-    found->second.bucket.advance(now);
-    found->second.bucket.give_back(taken.epoch, taken.tokens - used_tokens);
+    auto& it = found->second;
+    it.excess += it.bucket.advance(now);
+    it.bucket.give_back(taken.epoch, taken.tokens - used_tokens);
 }
 
 double share_holder::share(const std::string& account, core::time_point now)
--- a/Libraries/LibRate/share_holder.hpp
+++ b/Libraries/LibRate/share_holder.hpp
@@ -22,10 +22,10 @@
 public:
     /// Puts declared rates in force; an account without a rate is not limited
     /// here and must not be reserved for. `extra_burst` is added to the burst
-    /// of each account, over all VMs, in tokens: a part of a small burst would
-    /// not cover a single large prompt. Bursts are divided evenly between
-    /// `vms`, so that a VM whose demand rises has credit before its share
-    /// grows; the shares only divide the rates.
+    /// of each account, over all VMs, in tokens. What the pools of the grantors
+    /// don't hold of it is divided evenly between `vms`, so that a VM whose
+    /// demand rises has credit before its share grows; the shares only divide
+    /// the rates.
     void install(
         const std::map<std::string, account_rate>& rates, double extra_burst,
         std::uint32_t vms, core::time_point now);
@@ -43,6 +43,12 @@
     reserve_result reserve(
         const std::string& account, double tokens,
         core::time_point now) override;
+    /// Like reserve(), with tokens that were borrowed for this request. What
+    /// is left of them stays here as far as there is room, and is returned
+    /// to the grantors otherwise. Does not count as another demand.
+    reserve_result reserve_with_loan(
+        const std::string& account, double tokens, double lent,
+        core::time_point now) override;
     void settle(
         const reservation& taken, double used_tokens,
         core::time_point now) override;
@@ -58,6 +64,7 @@
         account_rate declared;
         token_bucket bucket;
         double asked = 0;  // Tokens since the last measurement.
+        double excess = 0; // Tokens to be returned to a grantor.
         double demand = 0; // Tokens per second, smoothed.
     };
 
@@ -75,6 +82,9 @@
     double share_of(const std::string& account, core::time_point now) const;
     void
     configure(const std::string& name, account_state& it, core::time_point now);
+    reserve_result take(
+        const std::string& account, account_state& it, double tokens,
+        double lent, core::time_point now);
 
     std::mutex mutex_; // Guards everything below.
     std::map<std::string, account_state> accounts_;
--- a/Libraries/LibRate/share_messages.hpp
+++ b/Libraries/LibRate/share_messages.hpp
@@ -16,11 +16,12 @@
     std::string account;
     float tokens_per_second = 0; ///< Asked for at this VM, refused or not.
     float held = 0; ///< Part of the grantor's rate that is held from it now.
+    float returned = 0; ///< Tokens that this VM had no room for.
 
     template <typename Archive>
     void serialize(Archive& archive)
     {
-        archive(account, tokens_per_second, held);
+        archive(account, tokens_per_second, held, returned);
     }
 };
 
--- a/Libraries/LibRate/token_bucket.cpp
+++ b/Libraries/LibRate/token_bucket.cpp
@@ -15,15 +15,15 @@
 
 } // namespace
 
-void token_bucket::advance(core::time_point now)
+double token_bucket::advance(core::time_point now)
 {
     if (now <= updated_)
     {
-        return;
+        return 0;
     }
     const double gained = tokens_per_second_ * core::to_seconds(now - updated_);
-    credit_ = std::min(cap_, credit_ + gained);
     updated_ = now;
+    return add(gained);
 }
 
 double token_bucket::configure(double tokens_per_second, double cap)
@@ -37,9 +37,11 @@
     return dropped;
 }
 
-void token_bucket::add(double tokens)
+double token_bucket::add(double tokens)
 {
-    credit_ = std::min(cap_, credit_ + std::max(0.0, tokens));
+    const double wanted = credit_ + std::max(0.0, tokens);
+    credit_ = std::min(cap_, wanted);
+    return wanted - credit_;
 }
 
 bool token_bucket::take(double tokens)
--- a/Libraries/LibRate/token_bucket.hpp
+++ b/Libraries/LibRate/token_bucket.hpp
@@ -19,15 +19,17 @@
 public:
     explicit token_bucket(core::time_point now) : updated_(now) {}
 
-    /// Accrues up to `now`. An earlier time changes nothing.
-    void advance(core::time_point now);
+    /// Accrues up to `now`. An earlier time changes nothing. Returns what
+    /// accrued above the cap, which is dropped.
+    double advance(core::time_point now);
 
     /// Changes accrual and cap from the last advance() on. Returns the credit
     /// above the new cap, which is dropped.
     double configure(double tokens_per_second, double cap);
 
-    /// Adds credit that was taken from another bucket, up to the cap.
-    void add(double tokens);
+    /// Adds credit that was taken from another bucket, up to the cap. Returns
+    /// the rest, which is dropped.
+    double add(double tokens);
 
     /// Takes `tokens`, all or nothing. Negative and non-finite amounts are
     /// refused.
--- a/Libraries/LibRelay/relay_handler.cpp
+++ b/Libraries/LibRelay/relay_handler.cpp
@@ -3,6 +3,7 @@
 #include <LibRelay/relay_handler.hpp>
 
 #include <LibCore/text.hpp>
+#include <LibGateway/await_callback.hpp>
 #include <LibRelay/relay_run.hpp>
 #include <LibRelay/relay_ticket.hpp>
 
@@ -20,6 +21,8 @@
 
 /// Time after which a VM that just started has its manifest.
 constexpr std::chrono::milliseconds manifest_wait{500};
+/// Other requests may take the VM's own credit while a loan is on its way.
+constexpr int max_loans = 2;
 
 // Regions that both allow; empty sets allow all. False if none is left.
 bool intersect(
@@ -170,32 +173,75 @@
     {
         const bool counted =
             out.head.has_token_count && !account->counts_requests;
-        const double tokens =
-            counted ? out.head.prompt_tokens +
-                          static_cast<double>(out.head.answer_tokens)
-                    : account->plain_tokens;
-        auto reserved = services.rates->reserve(account->name, tokens, now);
-        if (!reserved.granted)
+        out.rate_tokens = counted
+                              ? out.head.prompt_tokens +
+                                    static_cast<double>(out.head.answer_tokens)
+                              : account->plain_tokens;
+    }
+    return out;
+}
+
+http::asio::awaitable<std::optional<refusal>>
+entry_handler::reserve(request_terms& terms, const http::exchange& it)
+{
+    auto& services = *services_;
+    const auto wanted = terms.rate_tokens;
+    if (wanted <= 0)
+    {
+        co_return std::nullopt;
+    }
+    auto result =
+        services.rates->reserve(terms.account, wanted, services.clock->now());
+    double borrowed = 0;
+    for (int n = 0; n < max_loans && !result.granted && services.lender; ++n)
+    {
+        const double missing = wanted - result.credit;
+        const auto lent = co_await gateway::await_callback<rate::loan>(
+            it.executor(), [&](auto done) {
+                services.lender->borrow(
+                    terms.account, missing, std::move(done));
+            });
+        borrowed += lent.tokens;
+        result = services.rates->reserve_with_loan(
+            terms.account, wanted, lent.tokens, services.clock->now());
+        if (!result.granted && lent.tokens < missing)
         {
-            auto refused = make_refusal(
-                refusal_reason::rate_exceeded,
-                core::concat(
-                    "rate of ", account->name,
-                    " is used up: ", account->tokens_per_second,
-                    " tokens/s, credit ", reserved.credit, ", share ",
-                    reserved.share, ", wanted ", tokens));
-            refused.retry_after = reserved.retry_after;
-            return refused;
+            result.retry_after = std::max(result.retry_after, lent.retry_after);
+            break;
         }
-        out.reserved = reserved.taken;
     }
-    return out;
+    if (!result.granted)
+    {
+        auto refused = make_refusal(
+            refusal_reason::rate_exceeded,
+            core::concat(
+                "rate of ", terms.account, " is used up: credit ",
+                result.credit, ", share ", result.share, ", borrowed ",
+                borrowed, ", wanted ", wanted));
+        refused.retry_after = result.retry_after;
+        co_return refused;
+    }
+    if (borrowed > 0)
+    {
+        services.metrics->get_counter("hyssoploft_loans_total").add();
+    }
+    terms.reserved = std::move(result.taken);
+    co_return std::nullopt;
 }
 
 http::asio::awaitable<void> entry_handler::handle(http::exchange& it)
 {
     auto accepted = accept(it);
-    if (const auto* refused = std::get_if<refusal>(&accepted))
+    auto refused = std::optional<refusal>();
+    if (const auto* at_once = std::get_if<refusal>(&accepted))
+    {
+        refused = *at_once;
+    }
+    else
+    {
+        refused = co_await reserve(std::get<request_terms>(accepted), it);
+    }
+    if (refused)
     {
         const auto head = services_->codec->read_call(it.message());
         co_await answer_refusal(
--- a/Libraries/LibRelay/relay_handler.hpp
+++ b/Libraries/LibRelay/relay_handler.hpp
@@ -8,6 +8,7 @@
 #include <LibRelay/relay_services.hpp>
 
 #include <memory>
+#include <optional>
 #include <string>
 #include <variant>
 
@@ -27,6 +28,11 @@
     std::variant<request_terms, gateway::refusal>
     accept(const http::exchange& it);
 
+    /// Takes the request's tokens from the account's credit here, and borrows
+    /// what is missing.
+    http::asio::awaitable<std::optional<gateway::refusal>>
+    reserve(request_terms& terms, const http::exchange& it);
+
     std::shared_ptr<relay_services> services_;
 };
 
--- a/Libraries/LibRelay/relay_services.hpp
+++ b/Libraries/LibRelay/relay_services.hpp
@@ -8,6 +8,7 @@
 #include <LibCore/random_source.hpp>
 #include <LibFleet/traffic_view.hpp>
 #include <LibManifest/manifest.hpp>
+#include <LibRate/credit_lender.hpp>
 #include <LibRate/rate_limiter.hpp>
 #include <LibRelay/call_codec.hpp>
 #include <LibRelay/request_log.hpp>
@@ -41,6 +42,7 @@
     std::shared_ptr<fleet::traffic_source> source;
     std::shared_ptr<const call_codec> codec;
     std::shared_ptr<rate::rate_limiter> rates;
+    std::shared_ptr<rate::credit_lender> lender; ///< May be null.
     std::shared_ptr<core::clock> clock;
     core::random_source* random = nullptr; ///< Outlives the services.
     telemetry::metrics* metrics = nullptr; ///< Likewise.
@@ -84,6 +86,7 @@
     std::set<std::string> allowed_regions; ///< Empty: all.
     bool relayed = false; ///< Another VM sent it: it stays in this region.
     call_head head;
+    double rate_tokens = 0; ///< Counted for the account's rate; 0: none.
     std::optional<rate::reservation> reserved;
 };
 
--- a/Libraries/LibWire/message_type.hpp
+++ b/Libraries/LibWire/message_type.hpp
@@ -32,10 +32,12 @@
     replica_hello = 19,
     fleet_sync = 20,
     fleet_sync_answer = 21,
-    fleet_notice = 22
+    fleet_notice = 22,
+    loan_request = 23,
+    loan_answer = 24
 };
 
-inline constexpr core::enum_table<message_type, 22> message_type_names{
+inline constexpr core::enum_table<message_type, 24> message_type_names{
     {{message_type::hello, "hello"},
      {message_type::ping, "ping"},
      {message_type::ack, "ack"},
@@ -57,7 +59,9 @@
      {message_type::replica_hello, "replica_hello"},
      {message_type::fleet_sync, "fleet_sync"},
      {message_type::fleet_sync_answer, "fleet_sync_answer"},
-     {message_type::fleet_notice, "fleet_notice"}}};
+     {message_type::fleet_notice, "fleet_notice"},
+     {message_type::loan_request, "loan_request"},
+     {message_type::loan_answer, "loan_answer"}}};
 
 } // namespace hyssoploft::wire
 
--- a/Services/hyssoploft/fleet_process.cpp
+++ b/Services/hyssoploft/fleet_process.cpp
@@ -185,6 +185,7 @@
     relay_->source = control_;
     relay_->codec = std::make_shared<platform::call_headers>();
     relay_->rates = control_->rates();
+    relay_->lender = control_;
     relay_->clock = clock_;
     relay_->random = &traffic_random_;
     relay_->metrics = &metrics_;
--- /dev/null
+++ b/Tests/LibRate/credit_pool.cpp
@@ -0,0 +1,320 @@
+// Guards two things: large prompts of an account that is within its rate are
+// not refused because its credit is spread over many VMs, and loans never let
+// all VMs together exceed rate and burst.
+
+#include <LibRate/credit_pool.hpp>
+#include <LibRate/credit_split.hpp>
+#include <LibRate/loan_search.hpp>
+#include <LibRate/share_allocator.hpp>
+#include <LibRate/share_holder.hpp>
+
+#include <LibCore/random_source.hpp>
+
+#include <doctest.h>
+
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+using namespace hyssoploft;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+const core::time_point start{seconds(1000)};
+
+std::map<std::string, rate::account_rate> one_account(double rate, double burst)
+{
+    return {{"shop", {rate, burst, 0.0}}};
+}
+
+// Control VMs and entry VMs without a network between them.
+class small_fleet
+{
+public:
+    small_fleet(
+        std::size_t vms, std::size_t grantors, double rate, double burst,
+        double extra)
+        : rates_(one_account(rate, burst)), extra_(extra)
+    {
+        for (std::size_t n = 0; n < grantors; ++n)
+        {
+            allocators_.push_back(
+                std::make_unique<rate::share_allocator>(start, true));
+            pools_.push_back(make_pool(true, start, grantors));
+        }
+        for (std::size_t n = 0; n < vms; ++n)
+        {
+            holders_.push_back(std::make_unique<rate::share_holder>());
+            holders_.back()->install(
+                rates_, extra, static_cast<std::uint32_t>(vms), start);
+        }
+    }
+
+    void exchange(std::size_t vm, std::size_t grantor, core::time_point now)
+    {
+        const auto name = std::to_string(grantor);
+        const auto asked = holders_[vm]->build_request(name, now);
+        const auto grant = allocators_[grantor]->handle(
+            std::to_string(vm), 1, asked,
+            static_cast<std::uint32_t>(allocators_.size()), now);
+        for (const auto& it : asked.demands)
+        {
+            pools_[grantor]->put_back(it.account, it.returned, now);
+        }
+        holders_[vm]->apply(name, grant, now);
+    }
+
+    void exchange_all(core::time_point now)
+    {
+        for (std::size_t vm = 0; vm < holders_.size(); ++vm)
+        {
+            for (std::size_t n = 0; n < allocators_.size(); ++n)
+            {
+                exchange(vm, n, now);
+            }
+        }
+    }
+
+    bool reserve(
+        std::size_t vm, double tokens, bool may_borrow, core::time_point now)
+    {
+        auto result = holders_[vm]->reserve("shop", tokens, now);
+        if (result.granted || !may_borrow)
+        {
+            return result.granted;
+        }
+        std::vector<std::string> near{std::to_string(vm % pools_.size())};
+        std::vector<std::string> far;
+        for (std::size_t n = 0; n < pools_.size(); ++n)
+        {
+            if (std::to_string(n) != near.front())
+            {
+                far.push_back(std::to_string(n));
+            }
+        }
+        rate::loan_search search(tokens - result.credit, near, far);
+        for (auto round = search.next_round(); !round.empty();
+             round = search.next_round())
+        {
+            for (const auto& it : round)
+            {
+                search.answered(pools_[std::stoul(it.grantor)]->lend(
+                    "shop", it.tokens, now));
+            }
+        }
+        result =
+            holders_[vm]->reserve_with_loan("shop", tokens, search.lent(), now);
+        return result.granted;
+    }
+
+    void restart_grantor(std::size_t n, core::time_point now)
+    {
+        allocators_[n] = std::make_unique<rate::share_allocator>(now, false);
+        pools_[n] = make_pool(false, now, pools_.size());
+    }
+
+private:
+    std::unique_ptr<rate::credit_pool>
+    make_pool(bool fresh, core::time_point now, std::size_t grantors) const
+    {
+        auto out = std::make_unique<rate::credit_pool>(fresh);
+        out->install(rates_, extra_, now);
+        out->set_grantors(static_cast<std::uint32_t>(grantors), now);
+        return out;
+    }
+
+    const std::map<std::string, rate::account_rate> rates_;
+    const double extra_;
+    std::vector<std::unique_ptr<rate::share_allocator>> allocators_;
+    std::vector<std::unique_ptr<rate::credit_pool>> pools_;
+    std::vector<std::unique_ptr<rate::share_holder>> holders_;
+};
+
+// Load pattern: callers of one account spread over many VMs, a fifth of the
+// requests large. Returns the part of the large ones that was granted.
+double granted_large(std::size_t vms, double rate, double used, bool may_borrow)
+{
+    constexpr double large = 24'000;
+    constexpr double small = 2'400;
+    constexpr double mean = 0.2 * large + 0.8 * small;
+    constexpr milliseconds step{20};
+    constexpr int steps = 1500;
+    small_fleet fleet(vms, 5, rate, rate, 112'000);
+    core::seeded_random random(7);
+    int asked = 0;
+    int granted = 0;
+    auto now = start;
+    for (int n = 0; n < steps; ++n)
+    {
+        if (n % 20 == 0)
+        {
+            fleet.exchange_all(now);
+        }
+        now += step;
+        const double expected = used * rate * core::to_seconds(step) / mean;
+        for (double left = expected; random.uniform() < left; left -= 1)
+        {
+            const bool is_large = random.below(5) == 0;
+            const bool done = fleet.reserve(
+                random.below(vms), is_large ? large : small, may_borrow, now);
+            asked += is_large ? 1 : 0;
+            granted += is_large && done ? 1 : 0;
+        }
+    }
+    REQUIRE(asked > 20);
+    return static_cast<double>(granted) / asked;
+}
+
+} // namespace
+
+TEST_CASE("large prompts of an account within its rate are granted")
+{
+    // The account asks for 0.55 of its rate, as the users' accounts do on a
+    // calm day. Without loans a VM's part of the burst is too small.
+    CHECK(granted_large(70, 300'000, 0.55, false) < 0.5);
+    CHECK(granted_large(70, 300'000, 0.55, true) > 0.97);
+    CHECK(granted_large(9, 36'000, 0.55, false) < 0.7);
+    CHECK(granted_large(9, 36'000, 0.55, true) > 0.9);
+}
+
+TEST_CASE("a pool lends its part of the burst and then what accrues")
+{
+    rate::credit_pool pool(true);
+    pool.install(one_account(1000, 1000), 9000, start);
+    CHECK(pool.lend("shop", 500, start).tokens == 0);
+    pool.set_grantors(2, start);
+    const double cap = rate::pool_burst_share * 10'000 / 2;
+    CHECK(pool.credit("shop", start) == doctest::Approx(cap));
+    const auto first = pool.lend("shop", 10'000, start);
+    CHECK(first.tokens == doctest::Approx(cap).epsilon(0.001));
+    const auto none = pool.lend("shop", 10, start);
+    CHECK(none.tokens == 0);
+    CHECK(none.retry_after_ms > 0);
+    const double gained = rate::pool_rate_share * 1000 / 2;
+    CHECK(
+        pool.credit("shop", start + seconds(1)) ==
+        doctest::Approx(gained).epsilon(0.02));
+    pool.put_back("shop", 1e9, start + seconds(1));
+    CHECK(pool.credit("shop", start + seconds(1)) == doctest::Approx(cap));
+    CHECK(pool.lend("unknown", 10, start).tokens == 0);
+}
+
+TEST_CASE("a pool that starts again does not have its whole burst")
+{
+    rate::credit_pool pool(false);
+    pool.install(one_account(1000, 1000), 0, start);
+    pool.set_grantors(1, start);
+    CHECK(pool.credit("shop", start) <= 0.5 * rate::pool_burst_share * 1000);
+}
+
+TEST_CASE("an account that is declared again gets no second burst")
+{
+    rate::credit_pool pool(true);
+    pool.install(one_account(1000, 1000), 0, start);
+    pool.set_grantors(1, start);
+    CHECK(pool.lend("shop", 600, start).tokens == 600);
+    pool.install({}, 0, start);
+    CHECK(pool.lend("shop", 600, start).tokens == 0);
+    pool.install(one_account(1000, 1000), 0, start);
+    CHECK(pool.lend("shop", 600, start).tokens == 0);
+}
+
+TEST_CASE("near grantors are asked one by one and far ones at once")
+{
+    rate::loan_search search(100, {"a", "b"}, {"c", "d", "e"});
+    auto round = search.next_round();
+    REQUIRE(round.size() == 1);
+    CHECK(round[0].grantor == "a");
+    CHECK(round[0].tokens == 100);
+    search.answered({30, 0});
+    round = search.next_round();
+    REQUIRE(round.size() == 1);
+    CHECK(round[0].tokens == 70);
+    search.answered({0, 250});
+    round = search.next_round();
+    REQUIRE(round.size() == 3);
+    CHECK(round[0].tokens == 35);
+    search.answered({35, 0});
+    search.answered({35, 0});
+    search.answered({0, 90});
+    CHECK(search.next_round().empty());
+    CHECK(search.lent() == 100);
+    CHECK(search.retry_after() == milliseconds(90));
+}
+
+TEST_CASE("what is left of a loan is returned to a pool")
+{
+    rate::share_holder holder;
+    holder.install(one_account(1000, 1000), 0, 1, start);
+    const auto asked = holder.build_request("g", start);
+    rate::share_grant grant;
+    grant.sequence = asked.sequence;
+    grant.grantors = 1;
+    grant.shares = {{"shop", 1.0F}};
+    REQUIRE(holder.apply("g", grant, start));
+    // The VM keeps up to its cap of 400 and returns the rest.
+    CHECK(holder.reserve_with_loan("shop", 100, 5000, start).granted);
+    const auto next = holder.build_request("g", start);
+    REQUIRE(next.demands.size() == 1);
+    const double held = (1 - rate::pool_burst_share) * 1000;
+    const double first = 0.3 * held; // The credit that a VM starts with.
+    CHECK(
+        next.demands[0].returned ==
+        doctest::Approx(4900 + first - held).epsilon(0.01));
+    CHECK(holder.build_request("g", start).demands[0].returned == 0);
+}
+
+// All VMs take whatever they can, by themselves and by loans, while exchanges
+// are lost and grantors restart.
+TEST_CASE("loans keep all VMs within rate and burst over any window")
+{
+    constexpr std::size_t vm_count = 6;
+    constexpr std::size_t grantor_count = 5;
+    constexpr int steps = 600;
+    constexpr milliseconds step{100};
+    constexpr int window = 80; // Steps of 8 s.
+    constexpr double account = 36'000;
+    constexpr double slack = 140'000; // The users' bound on small accounts.
+    constexpr double bound = 1.1 * (account * 8 + account) + slack;
+    for (std::uint64_t seed = 1; seed <= 20; ++seed)
+    {
+        CAPTURE(seed);
+        core::seeded_random random(seed);
+        small_fleet fleet(
+            vm_count, grantor_count, account, account, 0.8 * slack);
+        std::vector<double> taken(steps, 0.0);
+        auto now = start;
+        for (int n = 0; n < steps; ++n)
+        {
+            now += step;
+            for (std::size_t vm = 0; vm < vm_count; ++vm)
+            {
+                if (random.below(10) < 7)
+                {
+                    fleet.exchange(vm, random.below(grantor_count), now);
+                }
+                const double wanted = 500.0 + random.uniform() * 30'000.0;
+                while (fleet.reserve(vm, wanted, true, now))
+                {
+                    taken[static_cast<std::size_t>(n)] += wanted;
+                }
+            }
+            if (n % 100 == 50)
+            {
+                fleet.restart_grantor(random.below(grantor_count), now);
+            }
+        }
+        for (int first = 0; first + window < steps; ++first)
+        {
+            double sum = 0;
+            for (int n = first; n < first + window; ++n)
+            {
+                sum += taken[static_cast<std::size_t>(n)];
+            }
+            REQUIRE(sum <= bound);
+        }
+    }
+}
