LibConsensus: Apply what was known to be committed after a start

Change: each batch of the storage carries the commit index; a tick writes it alone if no entries follow. A replica that starts gives out the entries up to it. Reads and changes wait for an election as before. Records of earlier builds are read.

Ruled out: a manifest on the disk of entry VMs, which have none.

--- a/Libraries/LibConsensus/consensus_node.cpp
+++ b/Libraries/LibConsensus/consensus_node.cpp
@@ -53,7 +53,10 @@
     {
         log_.append(std::move(it));
     }
-    commit_index_ = base_.last.index;
+    // What was committed stays so: it can be applied before an election.
+    commit_index_ =
+        std::clamp(found.committed_index, base_.last.index, log_.last().index);
+    handed_commit_ = commit_index_;
     synced_index_ = handed_index_ = log_.last().index;
 }
 
@@ -105,6 +108,8 @@
 void consensus_node::tick(core::time_point now)
 {
     advance(now);
+    // Usually the next entries carry it to the disk.
+    commit_due_ = commit_index_ > handed_commit_;
     if (is_leader())
     {
         tick_leader();
@@ -198,7 +203,9 @@
 std::optional<persist_batch> consensus_node::next_batch()
 {
     const std::uint64_t last = log_.last().index;
-    if (in_flight_ || (!state_dirty_ && !base_dirty_ && handed_index_ == last))
+    const bool nothing_new =
+        !state_dirty_ && !base_dirty_ && handed_index_ == last && !commit_due_;
+    if (in_flight_ || nothing_new)
     {
         return std::nullopt;
     }
@@ -216,8 +223,9 @@
     }
     batch.entries = log_.slice(handed_index_ + 1, SIZE_MAX);
     handed_index_ = last;
+    batch.committed_index = handed_commit_ = std::min(commit_index_, last);
     in_flight_ = {batch.sequence, last};
-    state_dirty_ = base_dirty_ = false;
+    state_dirty_ = base_dirty_ = commit_due_ = false;
     return batch;
 }
 
--- a/Libraries/LibConsensus/consensus_node.hpp
+++ b/Libraries/LibConsensus/consensus_node.hpp
@@ -325,6 +325,9 @@
     std::set<replica_id> votes_;
     std::optional<incoming_snapshot> incoming_;
 
+    std::uint64_t handed_commit_ = 0; // Commit index of the last batch.
+    bool commit_due_ = false;         // A batch is due for it alone.
+
     // Used on the leader only.
     std::map<replica_id, peer_progress> peers_; // All members but this one.
     core::time_point next_heartbeat_;
--- a/Libraries/LibConsensus/file_log_storage.cpp
+++ b/Libraries/LibConsensus/file_log_storage.cpp
@@ -8,6 +8,7 @@
 #include <cereal/archives/portable_binary.hpp>
 #include <cereal/types/optional.hpp>
 
+#include <algorithm>
 #include <sstream>
 
 namespace hyssoploft::consensus {
@@ -35,6 +36,7 @@
     hard_state state;
     std::optional<stored_base> base;
     std::vector<log_entry> entries;
+    std::uint64_t committed_index = 0;
 };
 
 template <typename Archive>
@@ -47,7 +49,7 @@
 {
     std::ostringstream out;
     cereal::PortableBinaryOutputArchive ar(out);
-    ar(it);
+    ar(it, it.committed_index);
     return std::move(out).str();
 }
 
@@ -59,6 +61,11 @@
         cereal::PortableBinaryInputArchive ar(in);
         stored_batch it;
         ar(it);
+        // Earlier builds wrote records that end here.
+        if (in.peek() != std::istringstream::traits_type::eof())
+        {
+            ar(it.committed_index);
+        }
         return it;
     }
     catch (const std::exception& error)
@@ -141,6 +148,8 @@
         }
         found.self = batch->self;
         found.state = batch->state;
+        found.committed_index =
+            std::max(found.committed_index, batch->committed_index);
         if (batch->base)
         {
             base = batch->base->last.index;
@@ -177,7 +186,7 @@
         found.self = random_.next();
         if (found.self != 0)
         {
-            if (auto status = log_->append(encode({found.self, {}, {}, {}}));
+            if (auto status = log_->append(encode({found.self, {}, {}, {}, 0}));
                 !status.ok())
             {
                 return status;
@@ -195,10 +204,14 @@
         return absl::FailedPreconditionError(
             "the storage is closed by an earlier error");
     }
-    const absl::Status status =
-        batch.replacement
-            ? replace(batch)
-            : log_->append(encode({self_, batch.state, {}, batch.entries}));
+    const absl::Status status = batch.replacement
+                                    ? replace(batch)
+                                    : log_->append(encode(
+                                          {self_,
+                                           batch.state,
+                                           {},
+                                           batch.entries,
+                                           batch.committed_index}));
     failed_ = !status.ok();
     return status;
 }
@@ -215,8 +228,8 @@
         }
     }
     const stored_batch record{
-        self_, batch.state, stored_base{base.last, base.members},
-        batch.entries};
+        self_, batch.state, stored_base{base.last, base.members}, batch.entries,
+        batch.committed_index};
     if (auto status = log_->rewrite({encode(record)}, random_.next());
         !status.ok())
     {
--- a/Libraries/LibConsensus/log_storage.hpp
+++ b/Libraries/LibConsensus/log_storage.hpp
@@ -47,6 +47,9 @@
     std::optional<snapshot> replacement;
     /// Consecutive. They replace all stored entries from the first one on.
     std::vector<log_entry> entries;
+    /// Entries up to this one are known to be committed; all of them are in
+    /// this batch or stored before.
+    std::uint64_t committed_index = 0;
 };
 
 struct persisted_state
@@ -55,6 +58,7 @@
     hard_state state;
     std::optional<snapshot> base;   ///< None: never bootstrapped nor joined.
     std::vector<log_entry> entries; ///< Consecutive, from after the snapshot.
+    std::uint64_t committed_index = 0; ///< The newest one that was stored.
 };
 
 class log_storage
--- a/Tests/LibConsensus/election.cpp
+++ b/Tests/LibConsensus/election.cpp
@@ -5,6 +5,8 @@
 
 #include <doctest.h>
 
+#include <algorithm>
+
 using namespace hyssoploft;
 using namespace std::chrono_literals;
 using consensus::replica_role;
@@ -243,3 +245,31 @@
     CHECK(it.replicas[leader].node->role() == replica_role::leader);
     check_serves(it, "after");
 }
+
+TEST_CASE("a replica alone applies what it knew to be committed")
+{
+    // After a restart of all VMs their state is there before an election.
+    cluster it(5, 3);
+    it.wait_for_leader();
+    REQUIRE(it.commit("kept", 5s));
+    REQUIRE(it.run_until(
+        [&] {
+            return it.is_converged();
+        },
+        5s));
+    it.run(1s); // The commit index reaches the disks.
+    for (std::size_t n = 0; n < 3; ++n)
+    {
+        it.crash(n);
+    }
+    REQUIRE(it.restart(1));
+    CHECK(it.run_until(
+        [&] {
+            const auto& found = it.replicas[1].machine.commands;
+            return std::find(found.begin(), found.end(), "kept") != found.end();
+        },
+        200ms));
+    // Nothing more is known: it is no leader, and its vote is still needed.
+    it.run(3s);
+    CHECK(it.replicas[1].node->role() != replica_role::leader);
+}
