Tests: Add a fault soak of the real programs

The soak runs control and entry VMs as processes on loopback addresses of their own, with upstreams, callers and an operator in one driver. Seeded faults come in series and overlap: kills, SIGTERM, pauses, all processes at once, lost disks, files that can't grow, changed settings, and connections that are delayed, reset or silenced one way by a proxy. The checker sees only what callers, upstreams and the operator see; its own tests show that each broken promise is reported.

--- /dev/null
+++ b/Tests/Soak/upstream_stand_in.hpp
@@ -0,0 +1,68 @@
+#ifndef HYSSOPLOFT_TESTS_SOAK_UPSTREAM_STAND_IN_HPP
+#define HYSSOPLOFT_TESTS_SOAK_UPSTREAM_STAND_IN_HPP
+
+// An upstream of the soak: announces itself, answers, and tells the checker
+// what it ran. Callers reach it through a proxy.
+
+#include <LibCore/random_source.hpp>
+#include <LibHttp/http_server.hpp>
+#include <Soak/fault_proxy.hpp>
+#include <Soak/promise_checker.hpp>
+
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace hyssoploft::soak {
+
+struct upstream_options
+{
+    std::string id;
+    std::string ip;
+    std::string role;
+    std::string data_center;
+    std::vector<http::tcp::endpoint> control; ///< Where it announces itself.
+};
+
+class upstream_stand_in final
+    : public http::request_handler,
+      public std::enable_shared_from_this<upstream_stand_in>
+{
+public:
+    /// Listens on the options' IP. Errors of the sockets.
+    static absl::StatusOr<std::shared_ptr<upstream_stand_in>> create(
+        std::shared_ptr<http::traffic_thread> thread,
+        const upstream_options& options, promise_checker& checker,
+        core::random_source& random);
+
+    void start();
+
+    fault_proxy& proxy()
+    {
+        return *proxy_;
+    }
+
+    http::asio::awaitable<void> handle(http::exchange& it) override;
+
+private:
+    upstream_stand_in(
+        std::shared_ptr<http::traffic_thread> thread,
+        const upstream_options& options, promise_checker& checker,
+        core::random_source& random);
+
+    http::asio::awaitable<void> announce();
+    http::asio::awaitable<void>
+    answer_stream(http::exchange& it, const std::string& request_id);
+
+    std::shared_ptr<http::traffic_thread> thread_;
+    const upstream_options options_;
+    promise_checker& checker_;
+    core::random_source& random_;
+    std::shared_ptr<http::http_server> server_;
+    std::shared_ptr<fault_proxy> proxy_;
+    std::uint64_t sequence_ = 0; // Of the announcements.
+};
+
+} // namespace hyssoploft::soak
+
+#endif
