--- a/Libraries/LibRelay/relay_run.hpp
+++ b/Libraries/LibRelay/relay_run.hpp
@@ -13,6 +13,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 
 namespace hyssoploft::relay {
 
@@ -72,6 +73,7 @@
     core::time_point first_event_{};
     unsigned status_ = 0;       // Sent to the caller; 0: none.
     std::string outcome_;       // For the log.
+    std::string_view detail_;   // Why no upstream was chosen; a table's name.
     std::string attempts_text_; // Upstreams and ends of the attempts.
 };
 
--- a/Libraries/LibRouting/backlog_router.cpp
+++ b/Libraries/LibRouting/backlog_router.cpp
@@ -37,6 +37,9 @@
 constexpr double near_seconds = 0.003;
 /// Upstreams that were not used for this long are forgotten.
 constexpr std::chrono::seconds upstream_memory{60};
+/// Told to callers whose home regions have no upstream, as in an evacuation,
+/// which takes tens of seconds: to come back sooner is of no use.
+constexpr std::chrono::seconds retry_after_residency{10};
 
 std::uint64_t mix(std::uint64_t seed, const std::string& text)
 {
@@ -205,7 +208,7 @@
     placement_result out;
     std::vector<option> options;
     bool serves = false;
-    bool forbidden = false;
+    bool permitted = false; // Some serve it where it may run.
     std::map<std::string, bool> served_regions;
     for (const auto& [id, it] : view.fleet->upstreams)
     {
@@ -215,8 +218,9 @@
             continue;
         }
         serves = true;
-        forbidden |= !request.allowed_regions.empty() &&
-                     !request.allowed_regions.contains(it.region);
+        permitted |= !view.evacuated.contains(it.data_center) &&
+                     (request.allowed_regions.empty() ||
+                      request.allowed_regions.contains(it.region));
         if (it.region != region_)
         {
             const auto known = served_regions.try_emplace(
@@ -279,11 +283,14 @@
     {
         const bool tried =
             !request.excluded.empty() || !request.excluded_regions.empty();
+        const bool forbidden = serves && !permitted && !tried;
         out.refusal = tried       ? no_placement::all_tried
                       : forbidden ? no_placement::residency_forbids
                       : serves    ? no_placement::all_tried
                                   : no_placement::no_upstream;
-        out.retry_after = retry_after(request);
+        out.retry_after = forbidden
+                              ? core::duration(retry_after_residency)
+                              : retry_after(request);
         return out;
     }
     if (best->seconds > core::to_seconds(request.time_left))
--- a/Tests/LibRouting/backlog_router.cpp
+++ b/Tests/LibRouting/backlog_router.cpp
@@ -287,3 +287,28 @@
     CHECK(at.router.in_flight() == 0);
     CHECK(at.router.own_loads().empty());
 }
+
+TEST_CASE("callers whose only region is evacuated are not called back soon")
+{
+    // They would be refused again as long as the evacuation lasts.
+    world it({engine("a", "east"), engine("b", "west")});
+    it.view.evacuated = {"east-a"};
+    auto request = call(1000);
+    request.allowed_regions = {"east"};
+    const auto out = it.router.choose(it.view, request, start);
+    CHECK(out.refusal == no_placement::residency_forbids);
+    CHECK(out.retry_after >= seconds(5));
+}
+
+TEST_CASE("callers of an upstream that is cold now are called back soon")
+{
+    auto cold = engine("a", "east");
+    cold.cold_until = start + seconds(3);
+    world it({cold, engine("b", "west")});
+    auto request = call(1000);
+    request.allowed_regions = {"east"};
+    REQUIRE(it.router.choose(it.view, request, start).chosen);
+    const auto out = it.router.choose(it.view, request, start);
+    CHECK(out.refusal == no_placement::all_tried);
+    CHECK(out.retry_after < seconds(1));
+}
