LibRouting: Prefer the agreed upstream of a subject more

The preference for the upstream that all VMs agree on for a subject was 1.5 times the time that reading its shared parts takes, which small backlogs elsewhere outweighed.

Change: 3 times.

--- a/Libraries/LibRouting/backlog_router.cpp
+++ b/Libraries/LibRouting/backlog_router.cpp
@@ -32,7 +32,7 @@
 constexpr std::uint32_t max_cold_senders = 4;
 /// Preference for the upstream that every VM agrees on for a prompt, as a
 /// part of the time that reading the shared parts takes.
-constexpr double agreed_share = 1.5;
+constexpr double agreed_share = 3.0;
 /// Options within this time of the best one count as equal.
 constexpr double near_seconds = 0.003;
 /// Upstreams that were not used for this long are forgotten.
