--- a/Libraries/LibRelay/relay_run.cpp
+++ b/Libraries/LibRelay/relay_run.cpp
@@ -380,9 +380,9 @@
                         : time_left() < min_time_left
                             ? refusal_reason::deadline_too_near
                             : refusal_reason::upstreams_busy;
-    detail_ = refused ? core::name_of(routing::no_placement_names,
-                                      refused->refusal)
-                      : std::string_view();
+    detail_ = refused
+                  ? core::name_of(routing::no_placement_names, refused->refusal)
+                  : std::string_view();
     auto it = gateway::make_refusal(reason, "no upstream takes the request");
     it.retry_after = refused ? refused->retry_after
                              : core::duration(std::chrono::milliseconds(300));
--- a/Libraries/LibRouting/backlog_router.cpp
+++ b/Libraries/LibRouting/backlog_router.cpp
@@ -288,9 +288,8 @@
                       : forbidden ? no_placement::residency_forbids
                       : serves    ? no_placement::all_tried
                                   : no_placement::no_upstream;
-        out.retry_after = forbidden
-                              ? core::duration(retry_after_residency)
-                              : retry_after(request);
+        out.retry_after = forbidden ? core::duration(retry_after_residency)
+                                    : retry_after(request);
         return out;
     }
     if (best->seconds > core::to_seconds(request.time_left))
--- a/Tests/Soak/soak.cpp
+++ b/Tests/Soak/soak.cpp
@@ -2,6 +2,7 @@
 // harms processes, connections and disks in series and at once, and checks
 // the promises from outside meanwhile. Exits with 1 if one was broken.
 
+#include <LibCore/clock.hpp>
 #include <LibCore/random_source.hpp>
 #include <LibCore/text.hpp>
 #include <LibHttp/traffic_thread.hpp>
@@ -211,7 +212,7 @@
 
     void lose_disk()
     {
-        const auto now = std::chrono::steady_clock::now();
+        const auto now = clock_.now();
         if (now < next_disk_)
         {
             return;
@@ -314,10 +315,8 @@
             thread_->context(), load_->operate_until_stopped(), asio::detached);
         co_await wait(milliseconds(1500));
         const auto end =
-            std::chrono::steady_clock::now() +
-            std::chrono::duration_cast<milliseconds>(
-                std::chrono::duration<double>(absl::GetFlag(FLAGS_seconds)));
-        while (std::chrono::steady_clock::now() < end)
+            clock_.now() + core::from_seconds(absl::GetFlag(FLAGS_seconds));
+        while (clock_.now() < end)
         {
             harm();
             co_await wait(milliseconds(random_.below(900)));
@@ -345,6 +344,7 @@
         co_await wait(milliseconds(300));
     }
 
+    core::suspend_aware_clock clock_;
     core::seeded_random random_; // Used on the one thread of the run.
     promise_checker checker_;
     std::unique_ptr<soak_fleet> fleet_;
@@ -352,7 +352,7 @@
     std::vector<std::shared_ptr<fault_proxy>> proxies_; // Of the entry VMs.
     std::vector<std::shared_ptr<upstream_stand_in>> upstreams_;
     std::unique_ptr<soak_load> load_;
-    std::chrono::steady_clock::time_point next_disk_{};
+    core::time_point next_disk_{};
     int open_faults_ = 0;
     bool finished_ = false;
 };
