Tests: Keep silenced connections of the soak silent

TCP never loses bytes in the middle.

Change: a direction that was silenced stays silent until its connection ends. The check is as it was.

Ruled out: the checks of the gateway; all violations were of this kind.

--- a/Tests/Soak/fault_proxy.cpp
+++ b/Tests/Soak/fault_proxy.cpp
@@ -139,6 +139,7 @@
         towards_target ? link_fault::drop_requests : link_fault::drop_answers;
     std::array<char, 16384> buf{};
     asio::steady_timer timer(io_);
+    bool silent = false;
     for (;;)
     {
         http::error_code ec;
@@ -148,7 +149,10 @@
         {
             break;
         }
-        if (fault_ == swallowed)
+        // TCP never loses bytes in the middle: a connection that was silenced
+        // stays silent when the fault ends.
+        silent |= fault_ == swallowed;
+        if (silent)
         {
             continue;
         }
--- a/Tests/Soak/fault_proxy.hpp
+++ b/Tests/Soak/fault_proxy.hpp
@@ -20,8 +20,8 @@
     none,
     delay,         ///< Each piece is passed on later.
     reset,         ///< Open connections are reset, new ones too.
-    drop_requests, ///< Bytes towards the target are swallowed.
-    drop_answers   ///< Bytes from the target are swallowed.
+    drop_requests, ///< Connections fall silent towards the target, for good.
+    drop_answers   ///< The same from the target.
 };
 
 inline constexpr core::enum_table<link_fault, 5> link_fault_names{
