LibRelay, LibRouting: Log pauses of streams and what a placement rests on

The line now has the longest pause and, for engines, the prompt, what is to be read of it, the prompts ahead, the running calls, the expected time and the age of other VMs' loads. Two metrics count the same. The last placement's belief moves from the placement into its result, so that a refusal has it.

No decision changes.

--- a/Libraries/LibControl/fleet_control.hpp
+++ b/Libraries/LibControl/fleet_control.hpp
@@ -237,6 +237,7 @@
     std::vector<std::string> seeds_;         // VMs.
     std::map<std::string, sync_peer> peers_; // By VM.
     fleet::view_merger merger_;
+    core::time_point loads_at_{}; // When merger_ got loads of other VMs.
     std::shared_ptr<membership::fleet_view> fleet_; // Never null.
     std::uint64_t manifest_version_ = 0;
     std::string packed_; // Document of manifest_version_.
--- a/Libraries/LibControl/fleet_control_sync.cpp
+++ b/Libraries/LibControl/fleet_control_sync.cpp
@@ -162,6 +162,7 @@
     const bool news = it.whole || !it.vms.empty() || !it.upstreams.empty() ||
                       !it.forgotten.empty();
     merger_.apply(vm, it, now);
+    loads_at_ = now;
     changed_ |= news;
     if (replica_)
     {
--- a/Libraries/LibControl/fleet_control_view.cpp
+++ b/Libraries/LibControl/fleet_control_view.cpp
@@ -105,6 +105,7 @@
     {
         out->loads[it.upstream] = {it.running, it.waiting_tokens};
     }
+    out->loads_at = loads_at_;
     out->built = now;
     out->entry_vms = std::max<std::uint32_t>(
         1, static_cast<std::uint32_t>(entry_vms_.size()));
--- a/Libraries/LibFleet/traffic_view.hpp
+++ b/Libraries/LibFleet/traffic_view.hpp
@@ -32,6 +32,7 @@
     std::shared_ptr<const manifest::route_table> routes;
     std::set<std::string> evacuated;          ///< Data centres.
     std::map<std::string, others_load> loads; ///< By upstream.
+    core::time_point loads_at{}; ///< When loads were received last.
     core::time_point built{};
     /// Entry VMs that were seen lately, also those that are silent now: they
     /// may still use their part of fleet-wide budgets. At least 1.
--- a/Libraries/LibRelay/relay_run.cpp
+++ b/Libraries/LibRelay/relay_run.cpp
@@ -6,6 +6,7 @@
 #include <LibRelay/relay_ticket.hpp>
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 namespace hyssoploft::relay {
@@ -111,6 +112,8 @@
         const auto now = services_.clock->now();
         const auto placed =
             services_.router->choose(*view, make_placement_request(), now);
+        belief_ = placed.belief;
+        loads_age_ = now - view->loads_at;
         if (!placed.chosen)
         {
             co_await conclude(placed);
@@ -138,8 +141,7 @@
     write_log();
 }
 
-std::chrono::nanoseconds
-relay_run::first_answer_limit(const routing::placement& where) const
+std::chrono::nanoseconds relay_run::first_answer_limit() const
 {
     const auto left = time_left();
     if (!may_run_again())
@@ -149,7 +151,7 @@
     const double part = is_resumable() ? stream_patience : plain_patience;
     const double patience = std::max(
         part * core::to_seconds(terms_.latency_target),
-        expected_patience * where.expected_seconds);
+        expected_patience * belief_.expected_seconds);
     return std::min(left, seconds_of(patience));
 }
 
@@ -182,7 +184,7 @@
     ++so_far_.tries;
     upstream_attempt call(services_, terms_, caller_.pool());
     current_ = &call;
-    const auto limit = first_answer_limit(where);
+    const auto limit = first_answer_limit();
     first_until_ = services_.clock->now() + limit;
     const auto result = co_await call.start(
         view, where, caller_.message(), framer_.last_id(), limit);
@@ -327,6 +329,10 @@
                 co_return next_step::done;
             }
         }
+        if (!events->empty())
+        {
+            observe_events();
+        }
         if (!events->empty() && !(co_await caller_.write(*events)).ok())
         {
             end_ = call_end::cancelled;
@@ -406,6 +412,16 @@
     (void)co_await caller_.respond(std::move(answer));
 }
 
+void relay_run::observe_events()
+{
+    const auto now = services_.clock->now();
+    if (last_event_ != core::time_point())
+    {
+        longest_pause_ = std::max(longest_pause_, now - last_event_);
+    }
+    last_event_ = now;
+}
+
 void relay_run::write_log()
 {
     const auto now = services_.clock->now();
@@ -429,8 +445,18 @@
         .with(
             "first_ms",
             first_event_ == core::time_point() ? -1 : ms(first_event_))
+        .with("longest_pause_ms", longest_pause_ / std::chrono::milliseconds(1))
         .with("total_ms", ms(now))
         .with("left_ms", time_left() / std::chrono::milliseconds(1));
+    if (terms_.is_engine)
+    {
+        line.with("prompt", terms_.head.prompt_tokens)
+            .with("read", belief_.read_tokens)
+            .with("ahead", std::lround(belief_.ahead_tokens))
+            .with("running", std::lround(belief_.running))
+            .with("expected_ms", std::lround(1e3 * belief_.expected_seconds))
+            .with("loads_age_ms", loads_age_ / std::chrono::milliseconds(1));
+    }
     services_.log.add(line, now);
     services_.metrics
         ->get_counter("hyssoploft_requests_total", {{"outcome", outcome_}})
@@ -440,6 +466,24 @@
         services_.metrics->get_distribution("hyssoploft_first_answer_seconds")
             .record(core::to_seconds(first_event_ - terms_.arrived));
     }
+    if (outcome_ != "streamed" || terms_.relayed)
+    {
+        return;
+    }
+    services_.metrics->get_distribution("hyssoploft_longest_pause_seconds")
+        .record(core::to_seconds(longest_pause_));
+    const bool late_start =
+        first_event_ - terms_.arrived > terms_.latency_target;
+    const bool late_event = terms_.pause_target > core::duration() &&
+                            longest_pause_ > terms_.pause_target;
+    if (late_start || late_event)
+    {
+        services_.metrics
+            ->get_counter(
+                "hyssoploft_late_streams_total",
+                {{"cause", late_start ? "first_event" : "pause"}})
+            .add();
+    }
 }
 
 } // namespace hyssoploft::relay
--- a/Libraries/LibRelay/relay_run.hpp
+++ b/Libraries/LibRelay/relay_run.hpp
@@ -48,13 +48,13 @@
     bool take_repeat();
     bool may_run_again() const;
     std::chrono::nanoseconds time_left() const;
-    std::chrono::nanoseconds
-    first_answer_limit(const routing::placement& where) const;
+    std::chrono::nanoseconds first_answer_limit() const;
     std::chrono::nanoseconds pause_limit() const;
     bool is_resumable() const
     {
         return terms_.repeat == manifest::repeat_kind::resumable_stream;
     }
+    void observe_events();
     void write_log();
 
     relay_services& services_;
@@ -71,8 +71,12 @@
     routing::call_end end_ = routing::call_end::cancelled; // Of the last one.
     core::time_point first_until_{}; // The attempt's limit on a first event.
     core::time_point first_event_{};
-    unsigned status_ = 0;       // Sent to the caller; 0: none.
-    std::string outcome_;       // For the log.
+    core::time_point last_event_{};
+    core::duration longest_pause_{};   // Between two events.
+    routing::placement_belief belief_; // Of the last placement.
+    core::duration loads_age_{};       // Of other VMs' loads, at that time.
+    unsigned status_ = 0;              // Sent to the caller; 0: none.
+    std::string outcome_;              // For the log.
     std::string_view detail_;   // Why no upstream was chosen; a table's name.
     std::string attempts_text_; // Upstreams and ends of the attempts.
 };
--- a/Libraries/LibRouting/backlog_router.cpp
+++ b/Libraries/LibRouting/backlog_router.cpp
@@ -109,17 +109,19 @@
     const double running =
         out.state->running +
         (others == view.loads.end() ? 0.0 : others->second.running);
+    out.belief.running = running;
     const double capacity = std::max(1U, record.capacity);
-    out.seconds = out.local ? 0.0 : settings_.region_round_trip;
+    out.belief.expected_seconds = out.local ? 0.0 : settings_.region_round_trip;
     if (request.prompt_tokens == 0)
     {
         const double mean = learned.service_seconds > 0
                                 ? learned.service_seconds
                                 : settings_.prior_service_seconds;
-        out.seconds +=
+        out.belief.expected_seconds +=
             mean * (1.0 + std::max(0.0, running + 1 - capacity) / capacity);
         // A small preference for the emptier of two upstreams with free slots.
-        out.score = out.seconds + 0.1 * mean * running / capacity;
+        out.score =
+            out.belief.expected_seconds + 0.1 * mean * running / capacity;
         return;
     }
     const double rate =
@@ -128,18 +130,19 @@
         rate / (1.0 + settings_.running_slowdown * std::min(running, capacity));
     const auto cached = std::min(
         request.prompt_tokens, out.state->cache.cached_tokens(request.parts));
-    out.read_tokens = request.prompt_tokens - cached;
-    out.ahead_tokens =
+    out.belief.read_tokens = request.prompt_tokens - cached;
+    out.belief.ahead_tokens =
         static_cast<double>(out.state->waiting_tokens) +
         (others == view.loads.end() ? 0.0 : others->second.waiting_tokens);
     const double queued = std::max(0.0, running + 1 - capacity);
     // A request without a slot waits for one of the running ones to end, which
     // takes about a second each on average.
-    out.wait_seconds = out.ahead_tokens / speed + queued / capacity;
-    out.seconds += settings_.base_seconds +
-                   (out.ahead_tokens + out.read_tokens) / speed +
-                   queued / capacity;
-    out.score = out.seconds;
+    out.wait_seconds = out.belief.ahead_tokens / speed + queued / capacity;
+    out.belief.expected_seconds +=
+        settings_.base_seconds +
+        (out.belief.ahead_tokens + out.belief.read_tokens) / speed +
+        queued / capacity;
+    out.score = out.belief.expected_seconds;
 }
 
 std::optional<backlog_router::option> backlog_router::make_option(
@@ -170,7 +173,8 @@
     out.local = local;
     estimate(out, view, request);
     out.fallback = state.paused_until > now;
-    out.seconds += settings_.failure_seconds * state.failure_share;
+    out.belief.expected_seconds +=
+        settings_.failure_seconds * state.failure_share;
     out.score += settings_.failure_seconds * state.failure_share +
                  (it.silent ? settings_.silent_seconds : 0.0);
     return out;
@@ -266,8 +270,9 @@
     auto reason = placement_reason::shortest_wait;
     const bool leave =
         remote &&
-        (!local || (local->seconds > limit &&
-                    remote->seconds + settings_.region_gain < local->seconds));
+        (!local || (local->belief.expected_seconds > limit &&
+                    remote->belief.expected_seconds + settings_.region_gain <
+                        local->belief.expected_seconds));
     if (leave)
     {
         best = remote;
@@ -292,7 +297,8 @@
                                     : retry_after(request);
         return out;
     }
-    if (best->seconds > core::to_seconds(request.time_left))
+    out.belief = best->belief;
+    if (best->belief.expected_seconds > core::to_seconds(request.time_left))
     {
         out.refusal = no_placement::deadline_too_near;
         out.retry_after = retry_after(request);
@@ -300,7 +306,7 @@
     }
     const bool overloaded =
         request.prompt_tokens > 0 && target > 0 &&
-        (best->seconds > settings_.late_limit * target ||
+        (best->belief.expected_seconds > settings_.late_limit * target ||
          best->wait_seconds > settings_.backlog_limit * target);
     if (overloaded)
     {
@@ -325,23 +331,23 @@
     core::time_point now)
 {
     placement_result out;
+    out.belief = it.belief;
     placement chosen;
     chosen.ticket = next_ticket_++;
     chosen.upstream = it.record->id;
     chosen.region = it.record->region;
     chosen.local = it.local;
     chosen.reason = reason;
-    chosen.expected_seconds = it.seconds;
     running_call call;
     call.upstream = it.record->id;
     call.role = it.record->role;
-    call.read_tokens = it.read_tokens;
-    call.ahead_tokens = it.ahead_tokens;
+    call.read_tokens = it.belief.read_tokens;
+    call.ahead_tokens = it.belief.ahead_tokens;
     call.started = now;
     call.local = it.local;
     call.engine = request.prompt_tokens > 0;
     it.state->running += 1;
-    it.state->waiting_tokens += it.read_tokens;
+    it.state->waiting_tokens += it.belief.read_tokens;
     if (it.record->cold_until > now && it.local)
     {
         it.state->cold_sent = now;
--- a/Libraries/LibRouting/backlog_router.hpp
+++ b/Libraries/LibRouting/backlog_router.hpp
@@ -67,6 +67,16 @@
      {no_placement::deadline_too_near, "deadline_too_near"},
      {no_placement::backlog_full, "backlog_full"}}};
 
+/// What the router believed of the upstream that it chose, or would have
+/// chosen before it refused.
+struct placement_belief
+{
+    double expected_seconds = 0;   ///< To the first event.
+    double ahead_tokens = 0;       ///< Prompts that are read before the call's.
+    std::uint32_t read_tokens = 0; ///< Of the call's prompt; the rest is kept.
+    double running = 0;            ///< Calls there, this one not included.
+};
+
 struct placement
 {
     std::uint64_t ticket = 0; ///< For first_event() and finished().
@@ -74,12 +84,12 @@
     std::string region;
     bool local = true;
     placement_reason reason = placement_reason::shortest_wait;
-    double expected_seconds = 0; ///< To the first event.
 };
 
 struct placement_result
 {
     std::optional<placement> chosen;
+    placement_belief belief; ///< All 0 if there was no upstream to weigh.
     no_placement refusal = no_placement::no_upstream; ///< If not chosen.
     core::duration retry_after{};                     ///< If not chosen.
 };
@@ -216,11 +226,9 @@
     {
         const membership::upstream_record* record = nullptr;
         upstream_state* state = nullptr;
-        double seconds = 0;      // Expected time to the first event.
-        double score = 0;        // The same with preferences.
-        double wait_seconds = 0; // Part of them that other calls cause.
-        double ahead_tokens = 0;
-        std::uint32_t read_tokens = 0;
+        placement_belief belief;
+        double score = 0;        // Expected time with preferences.
+        double wait_seconds = 0; // Part of it that other calls cause.
         bool local = true;
         bool fallback = false; // Paused or silent.
     };
