--- /dev/null
+++ b/Tests/LibRouting/engine_fleet_model.cpp
@@ -0,0 +1,535 @@
+// Plays engines and VMs event by event.
+
+#include "engine_fleet_model.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <numeric>
+
+namespace hyssoploft::test {
+
+namespace {
+
+using core::time_point;
+using std::chrono::microseconds;
+
+const time_point start{std::chrono::seconds(1000)};
+
+/// Engines of the users' larger fleets.
+constexpr double step_ms = 2.97;
+constexpr double step_ms_per_stream = 0.0222;
+constexpr double tokens_read_per_ms = 101;
+constexpr double attention_ms_per_million_pairs = 0.184;
+constexpr std::uint32_t chunk_tokens = 4096;
+constexpr std::uint32_t tokens_per_event = 10;
+constexpr std::uint32_t engine_slots = 32;
+constexpr std::uint64_t engine_memory = 594'720;
+constexpr microseconds way_in_region{4'000};
+constexpr microseconds way_between_regions{57'000};
+
+core::duration milliseconds_of(double ms)
+{
+    return core::from_seconds(ms / 1e3);
+}
+
+struct model_call
+{
+    std::size_t index = 0; // In the result.
+    std::size_t vm = 0;
+    std::uint64_t ticket = 0;
+    routing::placement_request request;
+    std::uint32_t to_read = 0;
+    std::uint32_t was_read = 0;
+    std::uint32_t tokens_made = 0;
+    std::uint32_t tokens_wanted = 0;
+    time_point arrived{};
+    time_point last_event{};
+    core::duration way{};
+    bool late = false;
+};
+
+using call_pointer = std::shared_ptr<model_call>;
+
+struct model_engine
+{
+    std::deque<call_pointer> waiting;
+    std::vector<call_pointer> running;
+    routing::prompt_cache kept;
+    bool busy = false;
+};
+
+struct model_vm
+{
+    std::string id;
+    std::string region;
+    fleet::traffic_view view;
+    std::unique_ptr<core::seeded_random> random;
+    std::unique_ptr<routing::backlog_router> router;
+};
+
+class model_run
+{
+public:
+    explicit model_run(const model_options& options)
+        : options_(options), random_(options.seed)
+    {
+        build();
+    }
+
+    model_result play();
+
+private:
+    using action = std::function<void()>;
+
+    struct event
+    {
+        time_point at;
+        std::uint64_t order;
+        std::shared_ptr<action> run;
+
+        bool operator>(const event& other) const
+        {
+            return std::tie(at, order) > std::tie(other.at, other.order);
+        }
+    };
+
+    void build();
+    void add_vm(const std::string& region, std::size_t n);
+    void after(core::duration delay, action run);
+    void arrive(std::size_t region);
+    call_pointer draw(std::size_t vm);
+    void place(const call_pointer& it);
+    void place_again(const call_pointer& it, const std::string& region);
+    void exchange(std::size_t vm);
+    void deliver(const std::string& engine, call_pointer it);
+    void step(const std::string& engine);
+    void end_step(const std::string& engine);
+    void make_token(const call_pointer& it);
+    void end(const call_pointer& it);
+    double log_normal(double mean, double spread);
+
+    const model_options options_;
+    core::seeded_random random_;
+    time_point now_ = start;
+    std::uint64_t order_ = 0;
+    std::priority_queue<event, std::vector<event>, std::greater<>> events_;
+    std::vector<model_vm> vms_;
+    std::vector<std::vector<std::size_t>> vms_of_region_;
+    std::map<std::string, model_engine> engines_;
+    std::shared_ptr<membership::fleet_view> fleet_ =
+        std::make_shared<membership::fleet_view>();
+    fleet::load_table reports_;
+    model_result result_;
+    std::uint64_t next_part_ = 1'000'000'000;
+};
+
+void model_run::build()
+{
+    manifest::manifest manifest;
+    manifest::upstream_role role;
+    role.name = "engine";
+    role.is_engine = true;
+    role.engine.slots = engine_slots;
+    role.engine.memory_tokens = engine_memory;
+    role.engine.tokens_per_event = tokens_per_event;
+    manifest.roles.push_back(role);
+    manifest::traffic_route route;
+    route.name = "streams";
+    route.host = "host";
+    route.path_prefix = "/";
+    route.roles = {{"engine", 1}};
+    route.pause_target = options_.pause_target;
+    manifest.routes.push_back(route);
+    const auto routes = std::make_shared<manifest::route_table>(manifest);
+    for (const auto& region : options_.regions)
+    {
+        for (std::size_t n = 0; n < region.engines; ++n)
+        {
+            membership::upstream_record it;
+            it.id = region.name + "-engine-" + std::to_string(n);
+            it.address = "10.0.0.1:80";
+            it.role = "engine";
+            it.region = region.name;
+            it.data_center = region.name;
+            it.capacity = engine_slots;
+            fleet_->upstreams[it.id] = it;
+            engines_[it.id];
+        }
+        vms_of_region_.emplace_back();
+        for (std::size_t n = 0; n < region.vms; ++n)
+        {
+            add_vm(region.name, n);
+        }
+    }
+    for (auto& it : vms_)
+    {
+        auto own = std::make_shared<membership::fleet_view>(*fleet_);
+        own->self = it.id;
+        it.view.fleet = own;
+        it.view.routes = routes;
+        it.view.entry_vms = static_cast<std::uint32_t>(vms_.size());
+    }
+}
+
+void model_run::add_vm(const std::string& region, std::size_t n)
+{
+    membership::vm_record record;
+    record.id = region + "-vm-" + std::to_string(n);
+    record.region = region;
+    record.relay_address = "10.0.0.2:90";
+    record.entry = true;
+    record.ready = true;
+    fleet_->vms[record.id] = record;
+    model_vm it;
+    it.id = record.id;
+    it.region = region;
+    it.random =
+        std::make_unique<core::seeded_random>(options_.seed + vms_.size());
+    it.router = std::make_unique<routing::backlog_router>(
+        region, routing::backlog_settings{}, *it.random);
+    vms_of_region_.back().push_back(vms_.size());
+    vms_.push_back(std::move(it));
+}
+
+void model_run::after(core::duration delay, action run)
+{
+    events_.push(
+        {now_ + delay, order_++, std::make_shared<action>(std::move(run))});
+}
+
+double model_run::log_normal(double mean, double spread)
+{
+    const double u = std::max(1e-12, random_.uniform());
+    const double normal =
+        std::sqrt(-2 * std::log(u)) * std::cos(6.283185307 * random_.uniform());
+    return mean * std::exp(spread * normal - spread * spread / 2);
+}
+
+call_pointer model_run::draw(std::size_t vm)
+{
+    auto it = std::make_shared<model_call>();
+    double left = random_.uniform();
+    std::size_t n = 0;
+    while (n + 1 < options_.workloads.size() &&
+           left >= options_.workloads[n].share)
+    {
+        left -= options_.workloads[n++].share;
+    }
+    const auto& from = options_.workloads[n];
+    const auto shared = static_cast<std::uint32_t>(from.shared_tokens);
+    const auto own = static_cast<std::uint32_t>(std::clamp(
+        log_normal(from.own_tokens, from.own_spread), 50.0,
+        from.max_own_tokens));
+    it->vm = vm;
+    it->arrived = now_;
+    it->last_event = now_;
+    it->tokens_wanted = static_cast<std::uint32_t>(
+        tokens_per_event *
+        std::max(1.0, std::round(log_normal(from.events, 0.4))));
+    auto& request = it->request;
+    request.role = "engine";
+    request.prompt_tokens = shared + own;
+    request.answer_tokens = it->tokens_wanted;
+    request.parts = {
+        {(n + 1) * 100'000 + random_.below(from.subjects), shared},
+        {next_part_++, own}};
+    request.memory_tokens = engine_memory;
+    request.allowed_regions = from.homes;
+    request.latency_target = from.latency_target;
+    request.time_left = from.deadline;
+    it->index = result_.calls.size();
+    model_result::call seen;
+    seen.workload = n;
+    seen.prompt_tokens = request.prompt_tokens;
+    result_.calls.push_back(seen);
+    return it;
+}
+
+void model_run::arrive(std::size_t region)
+{
+    const auto& from = options_.regions[region];
+    if (now_ - start < options_.length)
+    {
+        const double u = std::max(1e-12, random_.uniform());
+        after(
+            core::from_seconds(
+                -std::log(u) * static_cast<double>(options_.clump) /
+                from.calls_per_second),
+            [this, region] {
+                arrive(region);
+            });
+    }
+    const auto& vms = vms_of_region_[region];
+    for (std::size_t n = 0; n < options_.clump; ++n)
+    {
+        place(draw(vms[random_.below(vms.size())]));
+    }
+}
+
+void model_run::place(const call_pointer& it)
+{
+    auto& vm = vms_[it->vm];
+    auto placed = vm.router->choose(vm.view, it->request, now_);
+    auto& seen = result_.calls[it->index];
+    seen.refused = !placed.chosen;
+    if (!placed.chosen)
+    {
+        return;
+    }
+    it->ticket = placed.chosen->ticket;
+    seen.left_region = !placed.chosen->local;
+    if (placed.chosen->local)
+    {
+        it->way = way_in_region;
+        deliver(placed.chosen->upstream, it);
+        return;
+    }
+    // A VM of the other region chooses the engine there.
+    it->way = way_between_regions;
+    after(it->way, [this, it, to = placed.chosen->region] {
+        place_again(it, to);
+    });
+}
+
+void model_run::place_again(const call_pointer& it, const std::string& region)
+{
+    std::vector<std::size_t> there;
+    for (std::size_t n = 0; n < vms_.size(); ++n)
+    {
+        if (vms_[n].region == region)
+        {
+            there.push_back(n);
+        }
+    }
+    vms_[it->vm].router->finished(
+        it->ticket, routing::call_end::completed, now_);
+    it->vm = there[random_.below(there.size())];
+    it->request.local_only = true;
+    auto& relay = vms_[it->vm];
+    auto placed = relay.router->choose(relay.view, it->request, now_);
+    if (!placed.chosen)
+    {
+        result_.calls[it->index].refused = true;
+        return;
+    }
+    it->ticket = placed.chosen->ticket;
+    deliver(placed.chosen->upstream, it);
+}
+
+void model_run::deliver(const std::string& engine, call_pointer it)
+{
+    after(way_in_region, [this, engine, it = std::move(it)] {
+        auto& at = engines_[engine];
+        it->to_read = it->request.prompt_tokens -
+                      at.kept.cached_tokens(it->request.parts);
+        at.kept.use(it->request.parts, engine_memory / 2);
+        at.waiting.push_back(it);
+        if (!at.busy)
+        {
+            step(engine);
+        }
+    });
+}
+
+void model_run::step(const std::string& engine)
+{
+    auto& at = engines_[engine];
+    at.busy = !at.waiting.empty() || !at.running.empty();
+    if (!at.busy)
+    {
+        return;
+    }
+    double ms =
+        step_ms + step_ms_per_stream * static_cast<double>(at.running.size());
+    std::uint32_t room = chunk_tokens;
+    for (const auto& it : at.waiting)
+    {
+        if (room == 0 || at.running.size() >= engine_slots)
+        {
+            break;
+        }
+        const auto part = std::min(room, it->to_read - it->was_read);
+        const double before =
+            it->request.prompt_tokens - it->to_read + it->was_read;
+        ms += part / tokens_read_per_ms +
+              attention_ms_per_million_pairs * part * before / 1e6;
+        it->was_read += part;
+        room -= part;
+    }
+    after(milliseconds_of(ms), [this, engine] {
+        end_step(engine);
+    });
+}
+
+void model_run::end_step(const std::string& engine)
+{
+    auto& at = engines_[engine];
+    for (const auto& it : at.running)
+    {
+        make_token(it);
+    }
+    while (!at.waiting.empty() && at.running.size() < engine_slots &&
+           at.waiting.front()->was_read == at.waiting.front()->to_read)
+    {
+        make_token(at.waiting.front());
+        at.running.push_back(at.waiting.front());
+        at.waiting.pop_front();
+    }
+    for (const auto& it : at.running)
+    {
+        if (it->tokens_made == it->tokens_wanted)
+        {
+            end(it);
+        }
+    }
+    std::erase_if(at.running, [](const auto& it) {
+        return it->tokens_made == it->tokens_wanted;
+    });
+    step(engine);
+}
+
+void model_run::make_token(const call_pointer& it)
+{
+    ++it->tokens_made;
+    if (it->tokens_made % tokens_per_event != 0)
+    {
+        return;
+    }
+    const bool first = it->tokens_made == tokens_per_event;
+    const auto passed = now_ - it->last_event;
+    it->late |= first ? passed + it->way > it->request.latency_target
+                      : passed > options_.pause_target;
+    it->last_event = now_;
+    if (first)
+    {
+        vms_[it->vm].router->first_event(it->ticket, now_);
+    }
+}
+
+void model_run::end(const call_pointer& it)
+{
+    vms_[it->vm].router->finished(
+        it->ticket, routing::call_end::completed, now_);
+    auto& seen = result_.calls[it->index];
+    seen.served = now_ - it->arrived + it->way <= it->request.time_left;
+    seen.on_time = seen.served && !it->late;
+}
+
+void model_run::exchange(std::size_t vm)
+{
+    auto& it = vms_[vm];
+    it.router->tick(it.view, now_);
+    reports_.report(it.id, it.router->own_loads(), now_);
+    it.view.loads.clear();
+    for (const auto& row : reports_.others(it.id, now_))
+    {
+        it.view.loads[row.upstream] = {row.running, row.waiting_tokens};
+    }
+    it.view.loads_at = now_;
+    if (now_ - start < 2 * options_.length)
+    {
+        after(options_.exchange_interval, [this, vm] {
+            exchange(vm);
+        });
+    }
+}
+
+model_result model_run::play()
+{
+    for (std::size_t n = 0; n < vms_.size(); ++n)
+    {
+        after(
+            milliseconds_of(
+                random_.uniform() *
+                static_cast<double>(options_.exchange_interval.count())),
+            [this, n] {
+                exchange(n);
+            });
+    }
+    for (std::size_t n = 0; n < options_.regions.size(); ++n)
+    {
+        arrive(n);
+    }
+    while (!events_.empty())
+    {
+        const auto next = events_.top();
+        events_.pop();
+        now_ = next.at;
+        (*next.run)();
+    }
+    return std::move(result_);
+}
+
+} // namespace
+
+std::size_t
+model_result::count(const std::function<bool(const call&)>& which) const
+{
+    return static_cast<std::size_t>(
+        std::count_if(calls.begin(), calls.end(), which));
+}
+
+double model_result::share(std::size_t workload, bool call::*what) const
+{
+    const auto all = count([&](const call& it) {
+        return it.workload == workload;
+    });
+    const auto some = count([&](const call& it) {
+        return it.workload == workload && it.*what;
+    });
+    return static_cast<double>(some) /
+           static_cast<double>(std::max<std::size_t>(1, all));
+}
+
+double model_result::share_of_largest_tenth(
+    std::size_t workload, bool call::*what) const
+{
+    std::vector<call> of_kind;
+    std::copy_if(
+        calls.begin(), calls.end(), std::back_inserter(of_kind),
+        [&](const call& it) {
+            return it.workload == workload;
+        });
+    std::sort(of_kind.begin(), of_kind.end(), [](const auto& a, const auto& b) {
+        return a.prompt_tokens > b.prompt_tokens;
+    });
+    of_kind.resize(std::max<std::size_t>(1, of_kind.size() / 10));
+    const auto some =
+        std::count_if(of_kind.begin(), of_kind.end(), [&](const call& it) {
+            return it.*what;
+        });
+    return static_cast<double>(some) / static_cast<double>(of_kind.size());
+}
+
+model_result play_engine_fleet(const model_options& options)
+{
+    return model_run(options).play();
+}
+
+std::vector<model_workload> shop_workloads()
+{
+    model_workload draft;
+    draft.share = 0.177;
+    draft.shared_tokens = 5382;
+    draft.subjects = 778;
+    draft.own_tokens = 6610;
+    draft.own_spread = 1.4;
+    draft.max_own_tokens = 54'600;
+    draft.events = 38;
+    draft.latency_target = std::chrono::milliseconds(800);
+    draft.deadline = std::chrono::milliseconds(12'000);
+    model_workload tag;
+    tag.share = 0.823;
+    tag.shared_tokens = 568;
+    tag.subjects = 3616;
+    tag.own_tokens = 1800;
+    tag.own_spread = 1.3;
+    tag.max_own_tokens = 6870;
+    tag.events = 2;
+    tag.latency_target = std::chrono::milliseconds(600);
+    tag.deadline = std::chrono::milliseconds(3000);
+    tag.homes = {"large", "middle"};
+    return {draft, tag};
+}
+
+} // namespace hyssoploft::test
