LibHttp: Give up answers without end

An upstream in trouble may send bytes that are no answer until its caller closes. A call bounded each read, not all of them: bytes that are no part of the body, such as a chunk extension sent slowly, or a slow body read as a whole, kept a request beyond its deadline for as long as they came. Interim answers (1xx) were taken for the answer and passed on.

One limit now holds for all reads of a piece, of a whole body and of crossed answers; up to four interim answers are passed over; a connection's buffer is bounded. The table of the new test failed before on interim answers (taken as the answer) and on the slow chunk extension (ended by the server after 20 s, not at the call's second); endless heads, fields, extensions and trailers were refused before as well.

--- a/Libraries/LibHttp/connection_pool.hpp
+++ b/Libraries/LibHttp/connection_pool.hpp
@@ -21,8 +21,12 @@
 {
     explicit connection(asio::io_context& context) : stream(context) {}
 
+    /// Room for a head and one read; what needs more is no answer.
+    static constexpr std::size_t max_buffer_bytes =
+        max_header_bytes + 64 * 1024;
+
     beast::tcp_stream stream;
-    beast::flat_buffer buffer;
+    beast::flat_buffer buffer{max_buffer_bytes};
     std::string address;
     bool reused = false; ///< It has carried a call before.
     std::chrono::steady_clock::time_point idle_since{};
--- a/Libraries/LibHttp/http_client.cpp
+++ b/Libraries/LibHttp/http_client.cpp
@@ -24,6 +24,9 @@
 // accept within this time is taken as down.
 constexpr std::chrono::nanoseconds connect_timeout = std::chrono::seconds(2);
 
+/// Interim answers (1xx) that are passed over before an answer.
+constexpr int max_interim_answers = 4;
+
 /// The peer closes an idle connection at the time that it states; a request
 /// that is on its way then is lost.
 constexpr std::chrono::milliseconds keep_alive_margin{500};
@@ -94,27 +97,37 @@
 
 asio::awaitable<absl::Status> http_call::read_head()
 {
-    parser_.emplace();
-    parser_->header_limit(max_header_bytes);
-    parser_->body_limit(boost::none);
-    error_code ec;
-    co_await bhttp::async_read_header(
-        connection_->stream, connection_->buffer, *parser_,
-        asio::redirect_error(asio::use_awaitable, ec));
-    if (ec)
+    for (int n = 0; n <= max_interim_answers; ++n)
     {
-        co_return to_status(ec);
+        parser_.emplace();
+        parser_->header_limit(max_header_bytes);
+        parser_->body_limit(boost::none);
+        error_code ec;
+        co_await bhttp::async_read_header(
+            connection_->stream, connection_->buffer, *parser_,
+            asio::redirect_error(asio::use_awaitable, ec));
+        if (ec)
+        {
+            co_return to_status(ec);
+        }
+        if (bhttp::to_status_class(parser_->get().result_int()) !=
+            bhttp::status_class::informational)
+        {
+            stage_ = call_stage::reading_answer;
+            co_return absl::OkStatus();
+        }
     }
-    stage_ = call_stage::reading_answer;
-    co_return absl::OkStatus();
+    connection_->stream.close();
+    co_return absl::DataLossError("interim answers without an answer");
 }
 
 asio::awaitable<absl::Status>
 http_call::next_answer(std::chrono::nanoseconds timeout)
 {
+    const auto until = std::chrono::steady_clock::now() + timeout;
     while (!parser_->is_done())
     {
-        const auto piece = co_await read_piece(timeout);
+        const auto piece = co_await read_piece(until);
         if (!piece.ok())
         {
             co_return piece.status();
@@ -126,14 +139,21 @@
             "the connection ended with an answer to another call");
     }
     stage_ = call_stage::waiting;
-    connection_->stream.expires_after(timeout);
+    connection_->stream.expires_at(until);
     co_return co_await read_head();
 }
 
 asio::awaitable<absl::StatusOr<std::string>>
 http_call::read_some(std::chrono::nanoseconds timeout)
 {
-    auto piece = co_await read_piece(timeout);
+    co_return co_await read_some_until(
+        std::chrono::steady_clock::now() + timeout);
+}
+
+asio::awaitable<absl::StatusOr<std::string>>
+http_call::read_some_until(std::chrono::steady_clock::time_point until)
+{
+    auto piece = co_await read_piece(until);
     if (piece.ok() && piece->empty())
     {
         finish();
@@ -142,12 +162,15 @@
 }
 
 asio::awaitable<absl::StatusOr<std::string>>
-http_call::read_piece(std::chrono::nanoseconds timeout)
+http_call::read_piece(std::chrono::steady_clock::time_point until)
 {
     if (cancelled_)
     {
         co_return absl::CancelledError("call cancelled");
     }
+    // Once for all reads: an upstream may send bytes for ever that are no
+    // part of the body.
+    connection_->stream.expires_at(until);
     std::string piece;
     while (piece.empty() && !parser_->is_done())
     {
@@ -156,7 +179,6 @@
         body.data = buf.data();
         body.size = buf.size();
         body.more = true;
-        connection_->stream.expires_after(timeout);
         error_code ec;
         co_await bhttp::async_read_some(
             connection_->stream, connection_->buffer, *parser_,
@@ -174,10 +196,11 @@
 asio::awaitable<absl::StatusOr<std::string>>
 http_call::read_all(std::size_t limit, std::chrono::nanoseconds timeout)
 {
+    const auto until = std::chrono::steady_clock::now() + timeout;
     std::string all;
     for (;;)
     {
-        auto piece = co_await read_some(timeout);
+        auto piece = co_await read_some_until(until);
         if (!piece.ok())
         {
             co_return piece.status();
--- a/Libraries/LibHttp/http_client.hpp
+++ b/Libraries/LibHttp/http_client.hpp
@@ -65,7 +65,8 @@
     asio::awaitable<absl::StatusOr<std::string>>
     read_some(std::chrono::nanoseconds timeout);
 
-    /// The rest of the body. RESOURCE_EXHAUSTED above `limit` bytes.
+    /// The rest of the body, all of it within `timeout`. RESOURCE_EXHAUSTED
+    /// above `limit` bytes.
     asio::awaitable<absl::StatusOr<std::string>>
     read_all(std::size_t limit, std::chrono::nanoseconds timeout);
 
@@ -94,7 +95,9 @@
     absl::Status to_status(const error_code& ec) const;
     asio::awaitable<absl::Status> read_head();
     asio::awaitable<absl::StatusOr<std::string>>
-    read_piece(std::chrono::nanoseconds timeout);
+    read_piece(std::chrono::steady_clock::time_point until);
+    asio::awaitable<absl::StatusOr<std::string>>
+    read_some_until(std::chrono::steady_clock::time_point until);
     void finish();
 
     connection_pool& pool_;
--- a/Tests/LibHttp/server_client.cpp
+++ b/Tests/LibHttp/server_client.cpp
@@ -150,8 +150,90 @@
     return "127.0.0.1:" + std::to_string(port);
 }
 
+// Accepts one connection, sends `start` and then `piece` again and again until
+// the caller closes; at most 400 times.
+std::string endless_server(
+    const std::string& start, const std::string& piece,
+    std::chrono::milliseconds pause, std::thread& runner)
+{
+    auto context = std::make_shared<asio::io_context>();
+    auto acceptor = std::make_shared<tcp::acceptor>(
+        *context, tcp::endpoint(asio::ip::address_v4::loopback(), 0));
+    const auto port = acceptor->local_endpoint().port();
+    runner = std::thread([context, acceptor, start, piece, pause] {
+        tcp::socket socket(*context);
+        acceptor->accept(socket);
+        boost::system::error_code ec;
+        // Unread bytes would make its close a reset.
+        char buf[1024];
+        socket.read_some(asio::buffer(buf), ec);
+        asio::write(socket, asio::buffer(start), ec);
+        asio::steady_timer timer(*context);
+        for (int n = 0; n < 400 && !ec; ++n)
+        {
+            asio::write(socket, asio::buffer(piece), ec);
+            timer.expires_after(pause);
+            timer.wait();
+        }
+    });
+    return "127.0.0.1:" + std::to_string(port);
+}
+
 } // namespace
 
+// Guards against a call that outlives its time, or keeps what it reads without
+// bound, because an upstream never stops sending bytes that are no answer.
+TEST_CASE("answers without end are given up")
+{
+    struct row
+    {
+        std::string what;
+        std::string start;
+        std::string piece;
+        std::chrono::milliseconds pause;
+        absl::StatusCode code;
+    };
+    constexpr auto lost = absl::StatusCode::kDataLoss;
+    constexpr auto late = absl::StatusCode::kDeadlineExceeded;
+    const std::string head = "HTTP/1.1 200 OK\r\n";
+    const std::string chunked = head + "Transfer-Encoding: chunked\r\n\r\n";
+    const std::string many(4096, 'x');
+    const std::string fields = [] {
+        std::string out;
+        for (int n = 0; n < 200; ++n)
+        {
+            out += "A: b\r\n";
+        }
+        return out;
+    }();
+    const row rows[] = {
+        {"bytes that are no head", many, many, 0ms, lost},
+        {"status line", "HTTP/1.1 200 ", many, 0ms, lost},
+        {"header field", head + "A: ", many, 0ms, lost},
+        {"header fields", head, fields, 0ms, lost},
+        {"interim answers", "", "HTTP/1.1 100 Continue\r\n\r\n", 0ms, lost},
+        {"chunk extension", chunked + "5;", many, 0ms, lost},
+        {"trailer", chunked + "0\r\n", fields, 0ms, lost},
+        {"body", head + "\r\n", many, 0ms,
+         absl::StatusCode::kResourceExhausted},
+        {"slow head", head + "A: ", "x", 50ms, late},
+        {"slow body", head + "\r\n", "x", 50ms, late},
+        {"slow chunk extension", chunked + "5;", "x", 50ms, late},
+    };
+    fixture it;
+    for (const auto& row : rows)
+    {
+        CAPTURE(row.what);
+        std::thread runner;
+        const auto address =
+            endless_server(row.start, row.piece, row.pause, runner);
+        const auto status = it.call(address, "/", 1s).status();
+        CAPTURE(status.ToString());
+        CHECK(status.code() == row.code);
+        runner.join();
+    }
+}
+
 TEST_CASE("whole and streamed answers arrive")
 {
     fixture it;
