LibRouting: Don't refuse a call for the size of its own prompt

Callers of the largest drafts got 503 for want of engines that were idle: the expected first event, compared with 1.2 times the latency target, included the call's own prompt. The learned rate made it worse: prompts that came later delay a first event as well, and the rate was taken for less than half of what an idle engine reads.

Only what other calls cause, and the deadline, refuse a call now, and only calls with few others ahead teach the rate.

--- a/Libraries/LibRouting/backlog_router.cpp
+++ b/Libraries/LibRouting/backlog_router.cpp
@@ -21,6 +21,10 @@
 constexpr double failure_weight = 0.15;
 /// Observations of shorter reads say little about the rate.
 constexpr double min_observed_tokens = 3000;
+/// An engine with many calls reads prompts that came later before the first
+/// event of a call: only calls with fewer others' tokens ahead of them than
+/// this part of their own say how fast it reads.
+constexpr double observed_ahead = 0.1;
 /// Bounds on the learned rate, in tokens per second.
 constexpr double min_read_rate = 10'000;
 constexpr double max_read_rate = 2'000'000;
@@ -306,8 +310,7 @@
     }
     const bool overloaded =
         request.prompt_tokens > 0 && target > 0 &&
-        (best->belief.expected_seconds > settings_.late_limit * target ||
-         best->wait_seconds > settings_.backlog_limit * target);
+        best->wait_seconds > settings_.backlog_limit * target;
     if (overloaded)
     {
         out.refusal = no_placement::backlog_full;
@@ -390,6 +393,10 @@
                 : seconds;
         return;
     }
+    if (call.ahead_tokens > observed_ahead * call.read_tokens)
+    {
+        return;
+    }
     const double tokens = call.read_tokens + call.ahead_tokens;
     const double reading = seconds - settings_.base_seconds -
                            (call.local ? 0.0 : settings_.region_round_trip);
--- a/Libraries/LibRouting/backlog_router.hpp
+++ b/Libraries/LibRouting/backlog_router.hpp
@@ -135,12 +135,11 @@
     /// Part of the latency target that the own region may use up before other
     /// regions are considered.
     double local_share = 0.6;
-    /// A call is refused if its first event is expected after this multiple
-    /// of its latency target.
-    double late_limit = 1.2;
-    /// The same for the part of the wait that other calls cause. An engine
-    /// that always has prompts to read makes only a few tokens a second for
-    /// its running streams, which then miss their deadlines.
+    /// A call is refused if other calls delay its first event by this part of
+    /// its latency target. An engine that always has prompts to read makes
+    /// only a few tokens a second for its running streams, which then miss
+    /// their deadlines. How long the call's own prompt takes doesn't matter
+    /// as long as its deadline is met: it will not be shorter later.
     double backlog_limit = 0.6;
     /// Added for an upstream that fails, times the share of its failures:
     /// about what a failed call costs its caller.
--- a/Tests/LibRouting/backlog_router.cpp
+++ b/Tests/LibRouting/backlog_router.cpp
@@ -312,3 +312,18 @@
     CHECK(out.refusal == no_placement::all_tried);
     CHECK(out.retry_after < seconds(1));
 }
+
+// Guards against refusing what will never be shorter: a prompt that takes
+// longer than the latency target to read, on an idle engine (incident SHORT).
+TEST_CASE("a large prompt is not refused for its own size")
+{
+    world at({engine("a", "east")});
+    auto request = call(100'000);
+    const auto out = at.router.choose(at.view, request, start);
+    CHECK(out.chosen);
+    CHECK(out.belief.expected_seconds > 0.9);
+    at.router.finished(out.chosen->ticket, call_end::completed, start);
+    request.time_left = milliseconds(500);
+    const auto late = at.router.choose(at.view, request, start);
+    CHECK(late.refusal == no_placement::deadline_too_near);
+}
