LibFleet, LibControl: Tell loads to the VMs of the region directly

Callers of the grown Valea got streams with long pauses from engines that many VMs had chosen at once: in 85% of the placements the router believed that nothing waits there, with loads of 0.13 to 0.54 s of age, while a prompt waits 0.1 to 0.3 s. Loads go through the control VMs, one exchange up and one down.

Rows are repeated after a second and expire after 2.5 s: lost notices, late ones and restarted VMs need no handshake. Loads of other regions, and all loads if fewer than half of the VMs are heard, come from the control VMs as before.

Ruled out: a faster exchange with the control VMs, which is two hops and one more load on few VMs; reports of engines, which are priced as probes and 100 ms old.

--- a/Libraries/LibControl/fleet_control.cpp
+++ b/Libraries/LibControl/fleet_control.cpp
@@ -66,6 +66,7 @@
     : options_(options), codec_(std::move(codec)), clock_(std::move(clock)),
       random_(std::move(random)),
       holder_(std::make_shared<rate::share_holder>()), seeds_(options.seeds),
+      announcer_(options.incarnation),
       fleet_(std::make_shared<membership::fleet_view>())
 {
     fleet_->self = options_.vm;
@@ -215,6 +216,9 @@
     case message_type::fleet_notice:
         on_notice(it);
         return;
+    case message_type::load_notice:
+        on_load_notice(it);
+        return;
     case message_type::loan_request:
         serve_loan(it);
         return;
--- a/Libraries/LibControl/fleet_control.hpp
+++ b/Libraries/LibControl/fleet_control.hpp
@@ -12,6 +12,7 @@
 #include <LibCore/clock.hpp>
 #include <LibCore/random_source.hpp>
 #include <LibFleet/load_table.hpp>
+#include <LibFleet/peer_loads.hpp>
 #include <LibFleet/traffic_view.hpp>
 #include <LibFleet/upstream_table.hpp>
 #include <LibFleet/view_merger.hpp>
@@ -178,6 +179,12 @@
     std::string peer_address_of(const std::string& vm) const;
     void send_hello();
 
+    // Loads within the region (fleet_control_loads.cpp).
+    std::vector<std::string> load_peers() const;
+    void announce_loads();
+    void on_load_notice(const wire::incoming_message& it);
+    void fill_loads(fleet::traffic_view& out, core::time_point now);
+
     // Credit of accounts (fleet_control_credit.cpp).
     struct running_loan;
     std::uint32_t grantors_now(core::time_point now);
@@ -238,6 +245,10 @@
     std::map<std::string, sync_peer> peers_; // By VM.
     fleet::view_merger merger_;
     core::time_point loads_at_{}; // When merger_ got loads of other VMs.
+    fleet::load_announcer announcer_;
+    fleet::peer_loads peer_loads_; // Of the entry VMs of the same region.
+    core::time_point next_notice_{};
+    core::time_point next_load_publish_{};
     std::shared_ptr<membership::fleet_view> fleet_; // Never null.
     std::uint64_t manifest_version_ = 0;
     std::string packed_; // Document of manifest_version_.
--- a/Libraries/LibControl/fleet_control_view.cpp
+++ b/Libraries/LibControl/fleet_control_view.cpp
@@ -4,6 +4,8 @@
 
 #include <LibCore/log_line.hpp>
 
+#include <boost/asio/post.hpp>
+
 #include <glog/logging.h>
 
 #include <algorithm>
@@ -101,11 +103,7 @@
     out->fleet = fleet_;
     out->routes = routes_;
     out->evacuated = evacuated_;
-    for (const auto& it : merger_.loads())
-    {
-        out->loads[it.upstream] = {it.running, it.waiting_tokens};
-    }
-    out->loads_at = loads_at_;
+    fill_loads(*out, now);
     out->built = now;
     out->entry_vms = std::max<std::uint32_t>(
         1, static_cast<std::uint32_t>(entry_vms_.size()));
@@ -129,8 +127,13 @@
 
 void fleet_control::set_loads(std::vector<fleet::load_row> loads)
 {
-    const std::lock_guard lock(published_mutex_);
-    own_loads_ = std::move(loads);
+    {
+        const std::lock_guard lock(published_mutex_);
+        own_loads_ = std::move(loads);
+    }
+    boost::asio::post(io_, [this] {
+        announce_loads();
+    });
 }
 
 void fleet_control::install_manifest(
--- a/Libraries/LibFleet/fleet_messages.hpp
+++ b/Libraries/LibFleet/fleet_messages.hpp
@@ -89,6 +89,8 @@
     std::uint32_t running = 0;
     std::uint32_t waiting_tokens = 0; ///< Prompt tokens not read yet.
 
+    bool operator==(const load_row&) const = default;
+
     template <typename Archive>
     void serialize(Archive& archive)
     {
--- a/Services/hyssoploft/fleet_process.cpp
+++ b/Services/hyssoploft/fleet_process.cpp
@@ -24,7 +24,9 @@
 
 /// Each wake-up is charged; a shutdown is noticed by its signal.
 constexpr std::chrono::milliseconds step_interval{250};
-/// Loads reported to other VMs and waiting log lines are this old at most.
+/// Loads are told to the control thread, and by it to other VMs, this often.
+constexpr std::chrono::milliseconds load_interval{40};
+/// Waiting log lines are this old at most.
 constexpr std::chrono::milliseconds traffic_interval{200};
 /// New requests are still taken for this time after SIGTERM, until callers
 /// have learned of other VMs: the time to live of the directory's answers and
@@ -312,15 +314,20 @@
 
 void fleet_process::schedule_traffic()
 {
-    traffic_timer_->expires_after(traffic_interval);
+    traffic_timer_->expires_after(load_interval);
     traffic_timer_->async_wait([this](const boost::system::error_code& ec) {
         if (ec)
         {
             return;
         }
-        relay_->router->tick(*control_->view(), clock_->now());
         control_->set_loads(relay_->router->own_loads());
-        relay_->log.flush();
+        const auto now = clock_->now();
+        if (now >= next_traffic_tick_)
+        {
+            next_traffic_tick_ = now + traffic_interval;
+            relay_->router->tick(*control_->view(), now);
+            relay_->log.flush();
+        }
         schedule_traffic();
     });
 }
--- a/Services/hyssoploft/fleet_process.hpp
+++ b/Services/hyssoploft/fleet_process.hpp
@@ -75,6 +75,7 @@
     std::shared_ptr<relay::relay_services> relay_; // Null without callers.
     std::shared_ptr<http::traffic_thread> traffic_;
     std::unique_ptr<boost::asio::steady_timer> traffic_timer_;
+    core::time_point next_traffic_tick_{};
     std::vector<std::shared_ptr<http::http_server>> servers_;
     std::shared_ptr<http::http_server> entry_server_;
     std::shared_ptr<http::http_server> relay_server_;
--- /dev/null
+++ b/Tests/LibFleet/peer_loads.cpp
@@ -0,0 +1,92 @@
+// Guards against loads that are counted twice, kept for ever or lost: notices
+// that overtake each other, are lost, or come from a VM that was restarted.
+
+#include <LibFleet/peer_loads.hpp>
+
+#include <doctest.h>
+
+using namespace hyssoploft;
+using fleet::load_announcer;
+using fleet::load_notice;
+using fleet::load_row;
+using fleet::peer_loads;
+using std::chrono::milliseconds;
+
+namespace {
+
+const core::time_point start{std::chrono::seconds(50)};
+
+std::uint32_t waiting(const peer_loads& at, const char* upstream, int ms)
+{
+    const auto sums = at.sums(start + milliseconds(ms));
+    const auto found = sums.find(upstream);
+    return found == sums.end() ? 0 : found->second.waiting_tokens;
+}
+
+} // namespace
+
+TEST_CASE("only changes are told, and each row again after a second")
+{
+    load_announcer from(1);
+    const std::vector<load_row> loads = {{"a", 1, 500}, {"b", 2, 0}};
+    const auto first = from.next(loads, start);
+    REQUIRE(first.size() == 1);
+    CHECK(first[0].rows.size() == 2);
+    CHECK(from.next(loads, start + milliseconds(500)).empty());
+    const auto changed =
+        from.next({{"a", 1, 0}, {"b", 2, 0}}, start + milliseconds(600));
+    REQUIRE(changed.size() == 1);
+    CHECK(changed[0].rows == std::vector<load_row>{{"a", 1, 0}});
+    const auto repeated =
+        from.next({{"a", 1, 0}, {"b", 2, 0}}, start + milliseconds(1100));
+    REQUIRE(repeated.size() == 1);
+    CHECK(repeated[0].rows == std::vector<load_row>{{"b", 2, 0}});
+    const auto ended = from.next({{"b", 2, 0}}, start + milliseconds(1200));
+    REQUIRE(ended.size() == 1);
+    CHECK(ended[0].rows == std::vector<load_row>{{"a", 0, 0}});
+}
+
+TEST_CASE("many rows are split into notices that fit a datagram")
+{
+    load_announcer from(1);
+    std::vector<load_row> loads;
+    for (int n = 0; n < 300; ++n)
+    {
+        loads.push_back({"i-upstream-" + std::to_string(n), 1, 100});
+    }
+    peer_loads at;
+    for (const auto& it : from.next(loads, start))
+    {
+        CHECK(it.rows.size() <= load_announcer::max_row_bytes / 16);
+        at.hear("vm", it, start);
+    }
+    CHECK(at.sums(start).size() == 300);
+}
+
+TEST_CASE("sums follow the newest row of each VM")
+{
+    peer_loads at;
+    at.hear("one", {1, 1, {{"a", 1, 100}}}, start);
+    at.hear("two", {9, 1, {{"a", 1, 40}}}, start);
+    CHECK(waiting(at, "a", 0) == 140);
+    // An older notice that comes late changes nothing.
+    at.hear("one", {1, 3, {{"a", 1, 10}}}, start);
+    at.hear("one", {1, 2, {{"a", 5, 900}}}, start);
+    CHECK(waiting(at, "a", 0) == 50);
+    // A restarted VM has none of its earlier calls.
+    at.hear("one", {2, 1, {{"b", 1, 7}}}, start);
+    CHECK(waiting(at, "a", 0) == 40);
+    CHECK(waiting(at, "b", 0) == 7);
+}
+
+TEST_CASE("rows of a silent VM, and rows whose last change was lost, expire")
+{
+    peer_loads at;
+    at.hear("one", {1, 1, {{"a", 1, 100}, {"b", 1, 5}}}, start);
+    at.hear("one", {1, 2, {{"b", 1, 5}}}, start + milliseconds(2000));
+    CHECK(waiting(at, "a", 2400) == 100);
+    CHECK(waiting(at, "a", 2600) == 0);
+    CHECK(waiting(at, "b", 2600) == 5);
+    CHECK(at.heard(start + milliseconds(2600)) == 1);
+    CHECK(at.heard(start + milliseconds(5000)) == 0);
+}
--- a/Tests/LibRouting/engine_fleet_model.cpp
+++ b/Tests/LibRouting/engine_fleet_model.cpp
@@ -63,6 +63,9 @@
     std::string id;
     std::string region;
     fleet::traffic_view view;
+    std::map<std::string, fleet::others_load> reported; // By control VMs.
+    std::unique_ptr<fleet::load_announcer> announcer;
+    fleet::peer_loads peers;
     std::unique_ptr<core::seeded_random> random;
     std::unique_ptr<routing::backlog_router> router;
 };
@@ -101,6 +104,8 @@
     void place(const call_pointer& it);
     void place_again(const call_pointer& it, const std::string& region);
     void exchange(std::size_t vm);
+    void announce(std::size_t vm);
+    void refresh(model_vm& it);
     void deliver(const std::string& engine, call_pointer it);
     void step(const std::string& engine);
     void end_step(const std::string& engine);
@@ -118,7 +123,7 @@
     std::map<std::string, model_engine> engines_;
     std::shared_ptr<membership::fleet_view> fleet_ =
         std::make_shared<membership::fleet_view>();
-    fleet::load_table reports_;
+    fleet::load_table reports_; // Of the control VMs.
     model_result result_;
     std::uint64_t next_part_ = 1'000'000'000;
 };
@@ -183,6 +188,7 @@
     model_vm it;
     it.id = record.id;
     it.region = region;
+    it.announcer = std::make_unique<fleet::load_announcer>(1);
     it.random =
         std::make_unique<core::seeded_random>(options_.seed + vms_.size());
     it.router = std::make_unique<routing::backlog_router>(
@@ -420,12 +426,12 @@
     auto& it = vms_[vm];
     it.router->tick(it.view, now_);
     reports_.report(it.id, it.router->own_loads(), now_);
-    it.view.loads.clear();
+    it.reported.clear();
     for (const auto& row : reports_.others(it.id, now_))
     {
-        it.view.loads[row.upstream] = {row.running, row.waiting_tokens};
+        it.reported[row.upstream] = {row.running, row.waiting_tokens};
     }
-    it.view.loads_at = now_;
+    refresh(it);
     if (now_ - start < 2 * options_.length)
     {
         after(options_.exchange_interval, [this, vm] {
@@ -434,6 +440,52 @@
     }
 }
 
+void model_run::refresh(model_vm& it)
+{
+    it.view.loads = it.reported;
+    it.view.loads_at = now_;
+    if (options_.notice_interval <= std::chrono::milliseconds())
+    {
+        return;
+    }
+    for (const auto& [id, engine] : it.view.fleet->upstreams)
+    {
+        if (engine.region == it.region)
+        {
+            it.view.loads.erase(id);
+        }
+    }
+    for (const auto& [id, row] : it.peers.sums(now_))
+    {
+        it.view.loads[id] = {row.running, row.waiting_tokens};
+    }
+}
+
+void model_run::announce(std::size_t vm)
+{
+    auto& from = vms_[vm];
+    for (const auto& notice :
+         from.announcer->next(from.router->own_loads(), now_))
+    {
+        after(way_in_region, [this, vm, notice] {
+            for (auto& it : vms_)
+            {
+                if (it.region == vms_[vm].region && it.id != vms_[vm].id)
+                {
+                    it.peers.hear(vms_[vm].id, notice, now_);
+                    refresh(it);
+                }
+            }
+        });
+    }
+    if (now_ - start < 2 * options_.length)
+    {
+        after(options_.notice_interval, [this, vm] {
+            announce(vm);
+        });
+    }
+}
+
 model_result model_run::play()
 {
     for (std::size_t n = 0; n < vms_.size(); ++n)
@@ -444,6 +496,10 @@
                 static_cast<double>(options_.exchange_interval.count())),
             [this, n] {
                 exchange(n);
+                if (options_.notice_interval > std::chrono::milliseconds())
+                {
+                    announce(n);
+                }
             });
     }
     for (std::size_t n = 0; n < options_.regions.size(); ++n)
--- a/Tests/LibRouting/engine_fleet_model.hpp
+++ b/Tests/LibRouting/engine_fleet_model.hpp
@@ -7,6 +7,7 @@
 
 #include <LibCore/random_source.hpp>
 #include <LibFleet/load_table.hpp>
+#include <LibFleet/peer_loads.hpp>
 #include <LibRouting/backlog_router.hpp>
 
 #include <cstdint>
@@ -52,6 +53,8 @@
     std::chrono::milliseconds length{6000};
     /// Period of the exchange with control VMs.
     std::chrono::milliseconds exchange_interval{400};
+    /// Period of the notices between VMs of a region; 0: none.
+    std::chrono::milliseconds notice_interval{50};
     std::uint64_t seed = 1;
 };
 
