LibRouting: Weigh pauses of running streams and share backlog between regions

An engine makes an event of ten tokens in 30 ms, but in over 400 ms while it reads prompts. The router weighed the first event of the new call only, and a call left its region only if its own first event would be late.

A placement now also weighs the streams that run at an engine against the time for which it would read without a break, by the shortest pause target of the role's routes. Regions with a backlog move a part of their subjects to regions with less, by the difference; all VMs move the same ones, so that their shared parts are read once there. Without a pause target nothing changes.

--- a/Libraries/LibManifest/route_table.cpp
+++ b/Libraries/LibManifest/route_table.cpp
@@ -27,6 +27,16 @@
     for (const auto& it : source_.routes)
     {
         routes_[normal_host(it.host)].emplace(it.path_prefix, &it);
+        for (const auto& to : it.roles)
+        {
+            if (it.pause_target <= core::duration())
+            {
+                continue;
+            }
+            const auto [found, added] =
+                pause_targets_.try_emplace(to.role, it.pause_target);
+            found->second = std::min(found->second, it.pause_target);
+        }
     }
     for (const auto& it : source_.accounts)
     {
@@ -80,4 +90,10 @@
     return found == roles_.end() ? nullptr : found->second;
 }
 
+core::duration route_table::pause_target_of(const std::string& role) const
+{
+    const auto found = pause_targets_.find(role);
+    return found == pause_targets_.end() ? core::duration() : found->second;
+}
+
 } // namespace hyssoploft::manifest
--- a/Libraries/LibManifest/route_table.hpp
+++ b/Libraries/LibManifest/route_table.hpp
@@ -41,6 +41,10 @@
     /// Null for an unknown role.
     const upstream_role* find_role(const std::string& name) const;
 
+    /// The shortest pause target of the routes that use a role; 0 if none
+    /// has one.
+    core::duration pause_target_of(const std::string& role) const;
+
 private:
     manifest source_; // Never changes: the maps point into it.
     std::unordered_map<
@@ -48,6 +52,7 @@
         routes_; // By host and prefix.
     std::unordered_map<std::string, const client_account*> accounts_;
     std::unordered_map<std::string, const upstream_role*> roles_;
+    std::unordered_map<std::string, core::duration> pause_targets_; // By role.
 };
 
 } // namespace hyssoploft::manifest
--- a/Libraries/LibRouting/backlog_router.hpp
+++ b/Libraries/LibRouting/backlog_router.hpp
@@ -132,6 +132,15 @@
     /// A call leaves its region only if that gains this time as well: bytes
     /// between regions are dear.
     double region_gain = 0.15;
+    /// Expected harm of an event that comes after its pause target, for each
+    /// stream that runs at an engine, in seconds of a newcomer's wait.
+    double pause_harm_seconds = 0.05;
+    /// Part of the pause target from which on prompts that an engine has to
+    /// read do some harm; at the whole target they do all of it.
+    double pause_harm_start = 0.4;
+    /// A region whose engines need less than this part of the pause target to
+    /// read their prompts, in the mean, keeps all calls.
+    double calm_backlog = 0.025;
     /// Part of the latency target that the own region may use up before other
     /// regions are considered.
     double local_share = 0.6;
@@ -226,8 +235,9 @@
         const membership::upstream_record* record = nullptr;
         upstream_state* state = nullptr;
         placement_belief belief;
-        double score = 0;        // Expected time with preferences.
-        double wait_seconds = 0; // Part of it that other calls cause.
+        double score = 0;           // Expected time with preferences.
+        double wait_seconds = 0;    // Part of it that other calls cause.
+        double backlog_seconds = 0; // Of prompts, to read all of them.
         bool local = true;
         bool fallback = false; // Paused or silent.
     };
@@ -248,6 +258,11 @@
     core::duration retry_after(const placement_request& request) const;
     const option* best_of(
         const std::vector<option>& options, bool local, bool fallback) const;
+    double pause_harm(
+        const placement_belief& at, double speed, double pause_target) const;
+    std::string region_to_help(
+        const std::vector<option>& options, std::uint64_t subject,
+        double pause_target) const;
 
     std::string region_;
     backlog_settings settings_;
--- a/Tests/LibManifest/route_table.cpp
+++ b/Tests/LibManifest/route_table.cpp
@@ -64,3 +64,19 @@
     CHECK(table.find_account("k3") == nullptr);
     CHECK(table.find_account("") == nullptr);
 }
+
+TEST_CASE("a role's pause target is the shortest of its routes'")
+{
+    manifest::manifest from;
+    for (const int ms : {0, 600, 400, 900})
+    {
+        auto it = route("r", "a.example", "/");
+        it.path_prefix = "/" + std::to_string(ms) + "/";
+        it.pause_target = std::chrono::milliseconds(ms);
+        it.roles = {{"engine", 1}};
+        from.routes.push_back(it);
+    }
+    const manifest::route_table table(from);
+    CHECK(table.pause_target_of("engine") == std::chrono::milliseconds(400));
+    CHECK(table.pause_target_of("other") == core::duration());
+}
--- a/Tests/LibRouting/backlog_router.cpp
+++ b/Tests/LibRouting/backlog_router.cpp
@@ -41,7 +41,9 @@
     core::seeded_random random{7};
     backlog_router router{"east", {}, random};
 
-    explicit world(std::vector<membership::upstream_record> upstreams)
+    explicit world(
+        std::vector<membership::upstream_record> upstreams,
+        milliseconds pause_target = {})
     {
         for (auto& it : upstreams)
         {
@@ -64,6 +66,10 @@
         role.is_engine = true;
         role.cold_requests_per_second = 4;
         manifest.roles.push_back(role);
+        manifest::traffic_route route;
+        route.roles = {{"engine", 1}};
+        route.pause_target = pause_target;
+        manifest.routes.push_back(route);
         view.routes = std::make_shared<manifest::route_table>(manifest);
         publish();
     }
@@ -327,3 +333,50 @@
     const auto late = at.router.choose(at.view, request, start);
     CHECK(late.refusal == no_placement::deadline_too_near);
 }
+
+// Guards against long prompts that stop the streams of a busy engine while
+// another one has none (incident SHORT).
+TEST_CASE("a long prompt is read where it stops few streams")
+{
+    for (const auto pause_target : {milliseconds(0), milliseconds(400)})
+    {
+        CAPTURE(pause_target.count());
+        world at({engine("a", "east"), engine("b", "east")}, pause_target);
+        at.view.loads["a"] = {12, 0};
+        at.view.loads["b"] = {0, 18'000};
+        CHECK(place(at, call(30'000)) == (pause_target.count() ? "b" : "a"));
+        // A short prompt stops nobody for long.
+        world other({engine("a", "east"), engine("b", "east")}, pause_target);
+        other.view.loads = at.view.loads;
+        CHECK(place(other, call(1000)) == "a");
+    }
+}
+
+// Guards against a region that keeps all its work until first events are late
+// while the engines of another region are idle (incident SHORT).
+TEST_CASE("regions share their backlog by subject")
+{
+    world at({engine("a", "east"), engine("w", "west")}, milliseconds(400));
+    at.view.loads["a"] = {4, 12'000};
+    std::map<std::string, int> first;
+    const auto place_once = [&](const routing::placement_request& request) {
+        const auto out = at.router.choose(at.view, request, start);
+        REQUIRE(out.chosen);
+        at.router.finished(out.chosen->ticket, call_end::completed, start);
+        return out.chosen->upstream;
+    };
+    for (std::uint64_t subject = 10; subject < 110; ++subject)
+    {
+        const auto where = place_once(call(6000, subject));
+        ++first[where];
+        // The same subject goes to the same region again.
+        CHECK(place_once(call(6000, subject)) == where);
+    }
+    CHECK(first["a"] > 20);
+    CHECK(first["w"] > 20);
+    at.view.loads["a"] = {4, 0};
+    for (std::uint64_t subject = 10; subject < 110; ++subject)
+    {
+        CHECK(place_once(call(6000, subject)) == "a");
+    }
+}
--- a/Tests/LibRouting/engine_overload.cpp
+++ b/Tests/LibRouting/engine_overload.cpp
@@ -35,7 +35,8 @@
     return out;
 }
 
-void report(const char* what, const model_result& seen, std::size_t workload)
+void report(
+    const std::string& what, const model_result& seen, std::size_t workload)
 {
     using call = model_result::call;
     MESSAGE(
