--- a/Libraries/LibRouting/backlog_router.cpp
+++ b/Libraries/LibRouting/backlog_router.cpp
@@ -39,9 +39,6 @@
 constexpr double agreed_share = 3.0;
 /// Options within this time of the best one count as equal.
 constexpr double near_seconds = 0.003;
-/// At most this part of a region's calls moves to other regions because of
-/// backlogs: what is known of other regions is the oldest.
-constexpr double max_moved = 0.6;
 /// Upstreams that were not used for this long are forgotten.
 constexpr std::chrono::seconds upstream_memory{60};
 /// Told to callers whose home regions have no upstream, as in an evacuation,
@@ -157,82 +154,6 @@
             core::to_seconds(view.routes->pause_target_of(record.role)));
 }
 
-// While an engine reads prompts without a break for longer than the pause
-// target, the next event of each of its streams is late. Only what the call
-// adds counts: streams that are late already are not late twice.
-double backlog_router::pause_harm(
-    const placement_belief& at, double speed, double pause_target) const
-{
-    if (pause_target <= 0)
-    {
-        return 0;
-    }
-    const double from = settings_.pause_harm_start * pause_target;
-    const auto part_late = [&](double tokens) {
-        return std::clamp(
-            (tokens / speed - from) / (pause_target - from), 0.0, 1.0);
-    };
-    return settings_.pause_harm_seconds * at.running *
-           (part_late(at.ahead_tokens + at.read_tokens) -
-            part_late(at.ahead_tokens));
-}
-
-// Regions share their backlog: the larger the difference to another region's,
-// the more subjects move there. All VMs move the same subjects, so that their
-// shared parts are read once there.
-std::string backlog_router::region_to_help(
-    const std::vector<option>& options, std::uint64_t subject,
-    double pause_target) const
-{
-    struct region_backlog
-    {
-        double seconds = 0;
-        std::uint32_t engines = 0;
-        double mean() const
-        {
-            return engines == 0 ? 0 : seconds / engines;
-        }
-    };
-    std::map<std::string, region_backlog> regions;
-    for (const auto& it : options)
-    {
-        auto& at = regions[it.record->region];
-        at.seconds += it.backlog_seconds;
-        at.engines += 1;
-    }
-    const double own = regions[region_].mean();
-    if (pause_target <= 0 || own < settings_.calm_backlog * pause_target)
-    {
-        return "";
-    }
-    double all = 0;
-    std::map<std::string, double> moved; // Part of the calls, by region.
-    for (const auto& [name, it] : regions)
-    {
-        if (name == region_ || it.mean() >= own)
-        {
-            continue;
-        }
-        const double difference = (own - it.mean()) / (own + it.mean());
-        moved[name] =
-            difference * it.engines / (it.engines + regions[region_].engines);
-        all += moved[name];
-    }
-    const double scale = all > max_moved ? max_moved / all : 1.0;
-    double drawn = subject == 0 ? random_.uniform()
-                                : static_cast<double>(mix(subject, "region")) /
-                                      18446744073709551616.0;
-    for (const auto& [name, part] : moved)
-    {
-        drawn -= part * scale;
-        if (drawn < 0)
-        {
-            return name;
-        }
-    }
-    return "";
-}
-
 std::optional<backlog_router::option> backlog_router::make_option(
     const fleet::traffic_view& view, const upstream_record& it,
     const placement_request& request, core::time_point now)
@@ -328,9 +249,10 @@
             options.push_back(*made);
         }
     }
+    const auto subject = subject_of(request.parts);
     // Every VM prefers the same upstream of a region for a subject, so that
     // its shared parts are read once.
-    if (const auto subject = subject_of(request.parts); subject != 0)
+    if (subject != 0)
     {
         std::map<std::string, std::pair<std::uint64_t, option*>> agreed;
         for (auto& it : options)
@@ -351,10 +273,14 @@
         }
     }
     const auto* local = best_of(options, true, false);
+    const double draw = subject == 0
+                            ? random_.uniform()
+                            : static_cast<double>(mix(subject, "region")) /
+                                  18446744073709551616.0; // 2^64
     const auto helping =
         request.prompt_tokens > 0 && !request.local_only
             ? region_to_help(
-                  options, subject_of(request.parts),
+                  options, draw,
                   core::to_seconds(view.routes->pause_target_of(request.role)))
             : std::string();
     if (!helping.empty())
--- a/Libraries/LibRouting/backlog_router.hpp
+++ b/Libraries/LibRouting/backlog_router.hpp
@@ -260,8 +260,9 @@
         const std::vector<option>& options, bool local, bool fallback) const;
     double pause_harm(
         const placement_belief& at, double speed, double pause_target) const;
+    /// `draw` is from 0 to 1, below 1, and the same for a subject on each VM.
     std::string region_to_help(
-        const std::vector<option>& options, std::uint64_t subject,
+        const std::vector<option>& options, double draw,
         double pause_target) const;
 
     std::string region_;
--- a/Tests/LibRouting/engine_fleet_model.cpp
+++ b/Tests/LibRouting/engine_fleet_model.cpp
@@ -554,74 +554,9 @@
 
 } // namespace
 
-std::size_t
-model_result::count(const std::function<bool(const call&)>& which) const
-{
-    return static_cast<std::size_t>(
-        std::count_if(calls.begin(), calls.end(), which));
-}
-
-double model_result::share(std::size_t workload, bool call::*what) const
-{
-    const auto all = count([&](const call& it) {
-        return it.workload == workload;
-    });
-    const auto some = count([&](const call& it) {
-        return it.workload == workload && it.*what;
-    });
-    return static_cast<double>(some) /
-           static_cast<double>(std::max<std::size_t>(1, all));
-}
-
-double model_result::share_of_largest_tenth(
-    std::size_t workload, bool call::*what) const
-{
-    std::vector<call> of_kind;
-    std::copy_if(
-        calls.begin(), calls.end(), std::back_inserter(of_kind),
-        [&](const call& it) {
-            return it.workload == workload;
-        });
-    std::sort(of_kind.begin(), of_kind.end(), [](const auto& a, const auto& b) {
-        return a.prompt_tokens > b.prompt_tokens;
-    });
-    of_kind.resize(std::max<std::size_t>(1, of_kind.size() / 10));
-    const auto some =
-        std::count_if(of_kind.begin(), of_kind.end(), [&](const call& it) {
-            return it.*what;
-        });
-    return static_cast<double>(some) / static_cast<double>(of_kind.size());
-}
-
 model_result play_engine_fleet(const model_options& options)
 {
     return model_run(options).play();
 }
 
-std::vector<model_workload> shop_workloads()
-{
-    model_workload draft;
-    draft.share = 0.177;
-    draft.shared_tokens = 5382;
-    draft.subjects = 778;
-    draft.own_tokens = 6610;
-    draft.own_spread = 1.4;
-    draft.max_own_tokens = 54'600;
-    draft.events = 38;
-    draft.latency_target = std::chrono::milliseconds(800);
-    draft.deadline = std::chrono::milliseconds(12'000);
-    model_workload tag;
-    tag.share = 0.823;
-    tag.shared_tokens = 568;
-    tag.subjects = 3616;
-    tag.own_tokens = 1800;
-    tag.own_spread = 1.3;
-    tag.max_own_tokens = 6870;
-    tag.events = 2;
-    tag.latency_target = std::chrono::milliseconds(600);
-    tag.deadline = std::chrono::milliseconds(3000);
-    tag.homes = {"large", "middle"};
-    return {draft, tag};
-}
-
 } // namespace hyssoploft::test
