Tests: Share the scripted upstream and the test caller

LibRelay's coroutines had no test over sockets. The scripted upstream, the test caller and their monitor move from LibGateway's tests to Tests/Support, unchanged but for two additions: bytes that are sent after a pause, and the identifier of the request before.

--- a/Tests/LibGateway/fakes.hpp
+++ b/Tests/LibGateway/fakes.hpp
@@ -4,13 +4,12 @@
 // Fakes of the interfaces that the gateway uses. They record every call, so
 // that tests can check that each start is followed by exactly one end.
 
-#include "monitor.hpp"
-
 #include <LibAdmission/fifo_admission.hpp>
 #include <LibGateway/control_view.hpp>
 #include <LibLedger/ledger_client.hpp>
 #include <LibRate/rate_limiter.hpp>
 #include <LibRouting/round_robin_router.hpp>
+#include <Support/monitor.hpp>
 
 #include <map>
 #include <memory>
--- a/Tests/LibGateway/gateway_fixture.hpp
+++ b/Tests/LibGateway/gateway_fixture.hpp
@@ -5,14 +5,14 @@
 // test callers.
 
 #include "fakes.hpp"
-#include "scripted_upstream.hpp"
+
+#include <Support/scripted_upstream.hpp>
+#include <Support/test_caller.hpp>
 
 #include <LibCore/keyed_hash.hpp>
 #include <LibGateway/gateway.hpp>
 #include <LibHttp/http_server.hpp>
 
-#include <boost/beast/http/parser.hpp>
-
 #include <memory>
 #include <string>
 #include <string_view>
@@ -25,44 +25,6 @@
 
 std::string digest_of(std::string_view key);
 
-/// The answer that a caller received.
-struct answer
-{
-    unsigned status = 0;
-    std::string reason;
-    std::string not_run;
-    std::string request_id;
-    std::string body; ///< Without the chunked encoding.
-    bool whole = false;
-};
-
-/// A connection of a caller with blocking calls.
-class test_caller
-{
-public:
-    explicit test_caller(const std::string& address);
-
-    void send(const std::string& text);
-    /// Reads until the body has `text`; false at the end of the answer.
-    bool read_until(const std::string& text);
-    answer read();
-    /// Resets the connection.
-    void leave();
-
-private:
-    answer it_;
-    http::asio::io_context context_;
-    http::tcp::socket socket_;
-    http::beast::flat_buffer buffer_;
-    std::unique_ptr<http::bhttp::response_parser<http::bhttp::string_body>>
-        parser_;
-};
-
-/// The bytes of a request. `headers` are complete header lines.
-std::string request_text(
-    std::string_view method, std::string_view target, std::string_view body,
-    std::string_view headers);
-
 /// Header line with a valid key.
 std::string key_header();
 
--- a/Tests/Support/monitor.hpp
+++ b/Tests/Support/monitor.hpp
@@ -1,5 +1,5 @@
-#ifndef HYSSOPLOFT_TESTS_LIBGATEWAY_MONITOR_HPP
-#define HYSSOPLOFT_TESTS_LIBGATEWAY_MONITOR_HPP
+#ifndef HYSSOPLOFT_TESTS_SUPPORT_MONITOR_HPP
+#define HYSSOPLOFT_TESTS_SUPPORT_MONITOR_HPP
 
 // Mutex and condition variable for the state of all fakes of a test, so that
 // tests wait for a condition instead of sleeping.
--- a/Tests/Support/scripted_upstream.cpp
+++ b/Tests/Support/scripted_upstream.cpp
@@ -1,6 +1,6 @@
 // Sends scripted answers on raw sockets.
 
-#include "scripted_upstream.hpp"
+#include <Support/scripted_upstream.hpp>
 
 #include <LibCore/text.hpp>
 #include <LibHttp/sse_parser.hpp>
@@ -8,6 +8,7 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/parser.hpp>
@@ -22,9 +23,9 @@
 
 namespace {
 
-std::string with_id(std::string text, std::string_view id)
+std::string
+replace_all(std::string text, std::string_view mark, std::string_view id)
 {
-    const std::string_view mark = "{id}";
     for (auto at = text.find(mark); at != std::string::npos;
          at = text.find(mark, at + id.size()))
     {
@@ -91,7 +92,14 @@
             co_return;
         }
         const auto message = parser.release();
+        const auto id =
+            std::string(http::header_value(message, "x-request-id"));
+        std::string earlier_id;
         const auto next = state_.with([&] {
+            earlier_id = received.empty()
+                             ? std::string()
+                             : std::string(http::header_value(
+                                   received.back(), "x-request-id"));
             received.push_back(message);
             auto out = replies_.empty() ? reply() : replies_.front();
             if (replies_.size() > 1)
@@ -100,11 +108,31 @@
             }
             return out;
         });
-        const auto bytes =
-            with_id(next.bytes, http::header_value(message, "x-request-id"));
+        const auto with_ids = [&](const std::string& text) {
+            return replace_all(
+                replace_all(text, "{id}", id), "{earlier_id}", earlier_id);
+        };
+        const auto bytes = with_ids(next.bytes);
         co_await asio::async_write(
             socket, asio::buffer(bytes),
             asio::redirect_error(asio::use_awaitable, ec));
+        for (const auto& it : next.later)
+        {
+            asio::steady_timer timer(thread_.context(), it.pause);
+            co_await timer.async_wait(
+                asio::redirect_error(asio::use_awaitable, ec));
+            const auto more = with_ids(it.bytes);
+            co_await asio::async_write(
+                socket, asio::buffer(more),
+                asio::redirect_error(asio::use_awaitable, ec));
+            if (ec)
+            {
+                co_return;
+            }
+        }
+        state_.with([&] {
+            ++replies_sent;
+        });
         if (next.then == after_reply::hold)
         {
             char c = 0;
--- a/Tests/Support/scripted_upstream.hpp
+++ b/Tests/Support/scripted_upstream.hpp
@@ -1,13 +1,14 @@
-#ifndef HYSSOPLOFT_TESTS_LIBGATEWAY_SCRIPTED_UPSTREAM_HPP
-#define HYSSOPLOFT_TESTS_LIBGATEWAY_SCRIPTED_UPSTREAM_HPP
+#ifndef HYSSOPLOFT_TESTS_SUPPORT_SCRIPTED_UPSTREAM_HPP
+#define HYSSOPLOFT_TESTS_SUPPORT_SCRIPTED_UPSTREAM_HPP
 
 // An upstream on a raw socket that sends scripted bytes for each request, so
 // that answers can be complete, truncated or reset.
 
-#include "monitor.hpp"
+#include <Support/monitor.hpp>
 
 #include <LibHttp/traffic_thread.hpp>
 
+#include <chrono>
 #include <deque>
 #include <memory>
 #include <string>
@@ -25,11 +26,20 @@
     hold   // Waits until the gateway closes it.
 };
 
+/// Bytes that are sent after a pause.
+struct delayed_bytes
+{
+    std::chrono::milliseconds pause{};
+    std::string bytes;
+};
+
 struct reply
 {
-    /// "{id}" is replaced by the x-request-id of the request.
+    /// "{id}" is replaced by the x-request-id of the request, "{earlier_id}" by
+    /// that of the request before it.
     std::string bytes;
     after_reply then = after_reply::keep;
+    std::vector<delayed_bytes> later = {}; ///< Sent before `then`.
 };
 
 class scripted_upstream
@@ -51,6 +61,7 @@
     std::vector<http::request> received;
     std::size_t closed_by_gateway = 0; ///< During after_reply::hold.
     std::size_t connections = 0;
+    std::size_t replies_sent = 0; ///< With their delayed bytes.
 
 private:
     http::asio::awaitable<void> accept();
