LibRelay: Reject answers that name no call on a reused connection

What callers could see: an upstream's late second copy of a refusal or error that does not name its request, on a connection that is in use again, was taken for the answer to the call that was running. A copied "not run" let that call be sent a second time although it ran. Cause: skip_stale_answers() passed over answers with another identifier, but took an answer without one as its own. Now an upstream's answer without an identifier counts only on a connection that carried no other call; else the call may have run, and the connection is closed. Ruled out: copies with an identifier, copies of streams, copies that arrive while the connection is idle. They were handled; their rows stay as tests. The fixture runs sessions over real sockets as LibGateway's does, so the style check's list of such fixtures names it too.

--- a/Libraries/LibRelay/upstream_attempt.cpp
+++ b/Libraries/LibRelay/upstream_attempt.cpp
@@ -106,9 +106,7 @@
     for (int n = 0;; ++n)
     {
         parsed_answer_ = services_.codec->read_answer(call_.head());
-        const bool is_stale = !parsed_answer_.request_id.empty() &&
-                              parsed_answer_.request_id != terms_.request_id;
-        if (!is_stale)
+        if (parsed_answer_.request_id == terms_.request_id)
         {
             co_return absl::OkStatus();
         }
@@ -177,3 +175,18 @@
 }
 
 } // namespace hyssoploft::relay
+        if (parsed_answer_.request_id.empty())
+        {
+            // VMs of the fleet answer once. An upstream's answer that names no
+            // call belongs to this one only if there was no other.
+            if (!via_vm_.empty() || !call_.reused_connection())
+            {
+                co_return absl::OkStatus();
+            }
+            services_.metrics
+                ->get_counter("hyssoploft_unidentified_answers_total")
+                .add();
+            co_return absl::DataLossError(
+                "the answer names no call, and the connection carried others");
+        }
+        call_.cancel();
--- a/Meta/check-style.sh
+++ b/Meta/check-style.sh
@@ -60,9 +60,10 @@
     { before = "" }' "${lists[@]}" >>"$findings"
 
 # Process tests, load tools, benchmarks and stand-ins run in real time, and so
-# do the sessions over real sockets behind the fixture of LibGateway.
+# do the sessions over real sockets behind the fixtures of LibGateway and
+# LibRelay.
 mapfile -t tests < <(printf '%s\n' "${code[@]}" | grep '^Tests/' |
-    grep -vE '^Tests/(Processes|StandIns|Fuzz|Load|Scale)/|bench|^Tests/LibGateway/(gateway_fixture|forwarding)\.')
+    grep -vE '^Tests/(Processes|StandIns|Fuzz|Load|Scale)/|bench|^Tests/LibGateway/(gateway_fixture|forwarding)\.|^Tests/LibRelay/relay_fixture\.')
 grep -nHE '(steady|system|high_resolution)_clock::now|sleep_(for|until)|\b(u|nano)?sleep\(|core::system_(clock|random)\b|std::random_device' \
     "${tests[@]}" | sed 's/^\([^:]*:[0-9]*\):\(.*\)/\1: real time or chance:\2/' \
     >>"$findings" || true
--- /dev/null
+++ b/Tests/LibRelay/late_answers.cpp
@@ -0,0 +1,110 @@
+// Guards against a caller that gets the answer to another call, or a statement
+// about another call, because an upstream sent a second copy on a connection
+// that was in use again.
+
+#include "relay_fixture.hpp"
+
+#include <LibCore/text.hpp>
+
+#include <doctest.h>
+
+using namespace hyssoploft;
+using namespace hyssoploft::tests;
+using namespace std::chrono_literals;
+
+namespace {
+
+struct late_copy
+{
+    std::string name;
+    std::string first;  // Answer to the first call.
+    std::string second; // Bytes sent when the second call was read.
+    unsigned status;    // Of the second call's answer.
+    const char* body;
+};
+
+std::string not_run(std::string_view id)
+{
+    return signed_answer(503, "busy", id, "x-not-run: 1\r\n");
+}
+
+// An answer that names no call.
+std::string anonymous(unsigned status, std::string_view headers)
+{
+    return core::concat(
+        "HTTP/1.1 ", status, " X\r\n", headers,
+        "Content-Length: 4\r\n\r\nbusy");
+}
+
+} // namespace
+
+TEST_CASE("a late copy of an answer never reaches the connection's next caller")
+{
+    const auto one = signed_answer(200, "one");
+    const auto two = signed_answer(200, "two");
+    const auto one_again = signed_answer(200, "one", "{earlier_id}");
+    const auto stream_again =
+        signed_stream_head("{earlier_id}") + numbered_event(1) + last_chunk();
+    const late_copy rows[] = {
+        {"copy before the answer", one, one_again + two, 200, "two"},
+        {"two copies", one, one_again + one_again + two, 200, "two"},
+        {"copy of a stream",
+         signed_stream_head() + numbered_event(1) + last_chunk(),
+         stream_again + two, 200, "two"},
+        {"copy of a refusal", not_run("{id}"), not_run("{earlier_id}") + two,
+         200, "two"},
+        {"copy of an error", signed_answer(500, "one"),
+         signed_answer(500, "one", "{earlier_id}") + two, 200, "two"},
+        // The call may have run, whatever bytes without an identifier say.
+        {"refusal without identifier", one,
+         anonymous(503, "x-not-run: 1\r\n") + two, 502, nullptr},
+        {"misdirected without identifier", one, anonymous(421, "") + two, 502,
+         nullptr},
+        {"error without identifier", one, anonymous(500, "") + two, 502,
+         nullptr},
+    };
+    for (const auto& row : rows)
+    {
+        CAPTURE(row.name);
+        relay_fixture it;
+        it.upstream.set_replies({{row.first}, {row.second, after_reply::hold}});
+        (void)it.call(relay_request("/order/1", "a"));
+        const auto got = it.call(relay_request("/order/2", "b"));
+        CHECK_EQ(got.status, row.status);
+        if (row.body)
+        {
+            CHECK_EQ(got.body, row.body);
+            CHECK_EQ(got.request_id, "b");
+        }
+        it.state.with([&] {
+            // Else the copy would not have met a call.
+            CHECK_EQ(it.upstream.connections, 1);
+            CHECK_EQ(it.upstream.received.size(), 2);
+        });
+    }
+}
+
+TEST_CASE("a connection with bytes that no call asked for is not used again")
+{
+    const auto one = signed_answer(200, "one");
+    const reply rows[] = {
+        {one + one},                                 // In one piece.
+        {one, after_reply::keep, {{20ms, one}}},     // While it is idle.
+        {one, after_reply::close, {{20ms, "\r\n"}}}, // Not even an answer.
+    };
+    for (const auto& first : rows)
+    {
+        relay_fixture it;
+        it.upstream.set_replies({first, {signed_answer(200, "two")}});
+        CHECK_EQ(it.call(relay_request("/order/1", "a")).body, "one");
+        // Waits until the connection's unasked bytes are sent.
+        CHECK(it.state.wait([&] {
+            return it.upstream.replies_sent == 1;
+        }));
+        const auto got = it.call(relay_request("/order/2", "b"));
+        CHECK_EQ(got.body, "two");
+        it.state.with([&] {
+            CHECK_EQ(it.upstream.connections, 2);
+        });
+    }
+}
--- /dev/null
+++ b/Tests/LibRelay/relay_fixture.hpp
@@ -0,0 +1,201 @@
+#ifndef HYSSOPLOFT_TESTS_LIBRELAY_RELAY_FIXTURE_HPP
+#define HYSSOPLOFT_TESTS_LIBRELAY_RELAY_FIXTURE_HPP
+
+// Runs the entry handler of a VM on the loopback interface, with fakes for its
+// services and scripted upstreams.
+
+#include <Support/monitor.hpp>
+#include <Support/scripted_upstream.hpp>
+#include <Support/test_caller.hpp>
+
+#include <LibHttp/http_server.hpp>
+#include <LibRelay/relay_handler.hpp>
+
+#include <atomic>
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace hyssoploft::tests {
+
+/// Real time plus an offset, so that a test can let a pause of the process
+/// pass. Thread safe.
+class skipping_clock final : public core::clock
+{
+public:
+    core::time_point now() const override
+    {
+        return system_.now() + core::duration(offset_.load());
+    }
+
+    std::uint64_t unix_nanoseconds() const override
+    {
+        return system_.unix_nanoseconds();
+    }
+
+    void skip(core::duration d)
+    {
+        offset_ += d.count();
+    }
+
+private:
+    core::system_clock system_;
+    std::atomic<core::duration::rep> offset_{0};
+};
+
+/// Publishes what the test sets. Thread safe.
+class fake_traffic_source final : public fleet::traffic_source
+{
+public:
+    std::shared_ptr<const fleet::traffic_view> view() const override;
+
+    void set_loads(std::vector<fleet::load_row> loads) override
+    {
+        (void)loads;
+    }
+
+    /// Applies `change` to a copy of the view and of its fleet.
+    void change(const std::function<
+                void(fleet::traffic_view&, membership::fleet_view&)>& change);
+
+private:
+    mutable std::mutex mutex_; // Guards view_.
+    std::shared_ptr<const fleet::traffic_view> view_;
+};
+
+/// Headers of the tests: x-request-id, x-key, x-deadline-ms, last-event-id,
+/// x-not-run, x-signature.
+class fake_codec final : public relay::call_codec
+{
+public:
+    relay::call_head read_call(const http::request& it) const override;
+    http::request make_upstream_call(
+        const http::request& from,
+        const relay::call_terms& terms) const override;
+    relay::answer_head
+    read_answer(const http::bhttp::response_header<>& it) const override;
+    void copy_answer_headers(
+        const http::bhttp::response_header<>& from,
+        http::bhttp::response_header<>& to) const override;
+    http::response make_refusal(const gateway::refusal& it) const override;
+
+    /// Runs after a call was placed and before it is sent. Set it before the
+    /// first request.
+    std::function<void()> before_send;
+};
+
+/// Has credit for every request unless told otherwise. Thread safe.
+class generous_limiter final : public rate::rate_limiter
+{
+public:
+    rate::reserve_result reserve(
+        const std::string& account, double tokens,
+        core::time_point now) override;
+    rate::reserve_result reserve_with_loan(
+        const std::string& account, double tokens, double lent,
+        core::time_point now) override;
+    void settle(
+        const rate::reservation& taken, double used_tokens,
+        core::time_point now) override;
+
+    std::atomic<bool> has_credit{true}; ///< Without a loan.
+    std::atomic<int> refunded{0};
+};
+
+/// Lends nothing until the test says so. Thread safe.
+class slow_lender final : public rate::credit_lender
+{
+public:
+    explicit slow_lender(monitor& state) : state_(state) {}
+
+    void borrow(
+        const std::string& account, double tokens, loan_handler done) override;
+
+    /// Answers all waiting requests with the tokens that they asked for.
+    void lend_all();
+
+    /// Unanswered requests. Guarded by the monitor.
+    std::size_t waiting() const
+    {
+        return open_.size();
+    }
+
+private:
+    struct open_request
+    {
+        double tokens = 0;
+        loan_handler done;
+    };
+
+    monitor& state_;
+    std::vector<open_request> open_;
+};
+
+class relay_fixture
+{
+public:
+    relay_fixture();
+    ~relay_fixture();
+
+    /// Adds an upstream of this VM's region that serves every route.
+    void add_upstream(const std::string& id, const std::string& at);
+
+    /// Requires the key "k" of an account with a rate.
+    void set_rate(double tokens_per_second);
+
+    /// Makes other upstreams preferable to this one.
+    void set_busy(const std::string& id);
+
+    answer call(const std::string& text) const;
+
+    /// Waits until every request is answered and settled.
+    void wait_idle() const;
+
+    monitor state;
+    const std::string address;
+    std::shared_ptr<skipping_clock> clock = std::make_shared<skipping_clock>();
+    std::shared_ptr<fake_traffic_source> source =
+        std::make_shared<fake_traffic_source>();
+    std::shared_ptr<fake_codec> codec = std::make_shared<fake_codec>();
+    std::shared_ptr<generous_limiter> limiter =
+        std::make_shared<generous_limiter>();
+    telemetry::metrics metrics;
+    scripted_upstream upstream; ///< "first", in data centre "n-a".
+    std::shared_ptr<relay::relay_services> services;
+    std::shared_ptr<http::http_server> server;
+
+private:
+    void declare();
+
+    core::seeded_random random_{1};
+    std::shared_ptr<http::traffic_thread> thread_;
+};
+
+/// Requests of the routes below; `headers` are complete header lines.
+/// "/order/": at most once; "/stream/": a stream, at most once; "/resume/": a
+/// stream that may resume at a second upstream; "/read/": idempotent, at two
+/// upstreams. Latency target 400 ms, pause target 100 ms, timeout 3 s.
+std::string relay_request(
+    std::string_view path, std::string_view id, std::string_view headers = {});
+
+/// An answer with Content-Length, the identifier of its request and the
+/// upstream's signature.
+std::string signed_answer(
+    unsigned status, std::string_view body, std::string_view id = "{id}",
+    std::string_view headers = {});
+
+/// Head of a streamed answer with a signature.
+std::string signed_stream_head(std::string_view id = "{id}");
+
+/// A chunk with one event.
+std::string numbered_event(int number);
+
+/// The last chunk.
+std::string last_chunk();
+
+} // namespace hyssoploft::tests
+
+#endif
