LibRelay: Pass on "not run" statuses only with a statement

What callers could see: 408, 429 or 503 for a request that had run, because an upstream, or something in front of it, answered with that status and did not state that it had not run the call. These statuses promise "not run", so a caller sends an order again. Cause: classify_answer() passed such answers on like any other answer. Shown first on the landed code: Tests/LibRelay/lost_answers.cpp, 4 rows failed (503, 503, 429 and 408 instead of 502). Now such an answer counts as lost: the call may have run, is repeated only if it may run twice, and is reported as 502. Ruled out by rows that passed before: resets before, inside and after the head, garbage, missing signatures, errors of the upstream.

--- a/Libraries/LibRelay/upstream_attempt.cpp
+++ b/Libraries/LibRelay/upstream_attempt.cpp
@@ -19,6 +19,17 @@
 
 upstream_attempt::upstream_attempt(
     relay_services& services, const request_terms& terms,
+/// Statuses that promise callers that a request has not run.
+constexpr bool promises_not_run(unsigned status)
+{
+    constexpr unsigned request_timeout = 408;
+    constexpr unsigned misdirected = 421;
+    constexpr unsigned too_many_requests = 429;
+    constexpr unsigned unavailable = 503;
+    return status == request_timeout || status == misdirected ||
+           status == too_many_requests || status == unavailable;
+}
+
     http::connection_pool& pool)
     : services_(services), terms_(terms), call_(pool)
 {}
@@ -190,3 +201,12 @@
                 "the answer names no call, and the connection carried others");
         }
         call_.cancel();
+    if (promises_not_run(code) && not_run_value.empty())
+    {
+        // Nobody states that the call has not run, so callers must not hear a
+        // status that promises it.
+        call_.cancel();
+        co_return attempt_result{
+            execution_state::may_have_run, routing::placement_outcome::errored,
+            true, core::concat("status ", code, " without a statement")};
+    }
