LibRelay: Measure the progress of a stream by its events

What callers could see: (1) a resumable stream that stalled but still got a byte, a comment or an empty line now and then stayed with its upstream until its deadline and was cut there; (2) a slow but sound stream was cut after twice its pause target although no other upstream could take it over, or no retry was left in the budget; (3) a whole answer that stalled in its body was not asked for again. Cause: each read had the full pause timeout, so that any byte extended it; the timeout applied whether or not the stream could go on elsewhere. Now the time for the next event runs from the last event, comments do not count as events, and an attempt is given up early only if another upstream exists and the retry budget has room. A stream that may not resume ends at its deadline.

--- a/Libraries/LibRelay/event_framer.cpp
+++ b/Libraries/LibRelay/event_framer.cpp
@@ -2,6 +2,7 @@
 
 #include <LibRelay/event_framer.hpp>
 
+#include <algorithm>
 #include <charconv>
 #include <optional>
 
@@ -43,6 +44,26 @@
     return out;
 }
 
+// False for comments and empty lines, which say nothing about progress.
+bool has_content(std::string_view event)
+{
+    while (!event.empty())
+    {
+        const auto end = event.find_first_of("\r\n");
+        const auto name = event.substr(0, std::min(end, event.find(':')));
+        if (name == "data" || name == "id")
+        {
+            return true;
+        }
+        if (end == std::string_view::npos)
+        {
+            break;
+        }
+        event.remove_prefix(end + 1);
+    }
+    return false;
+}
+
 // Size of the first event with its empty line; 0 if it is incomplete.
 std::size_t event_size(std::string_view bytes)
 {
@@ -80,7 +101,7 @@
     {
         last_id_ = std::string(id);
     }
-    ++event_count_;
+    event_count_ += has_content(event) ? 1 : 0;
     out += event;
 }
 
--- a/Libraries/LibRelay/event_framer.hpp
+++ b/Libraries/LibRelay/event_framer.hpp
@@ -30,6 +30,7 @@
         return last_id_;
     }
 
+    /// Events returned by feed(), without comments.
     std::uint64_t event_count() const
     {
         return event_count_;
--- a/Libraries/LibRelay/relay_run.cpp
+++ b/Libraries/LibRelay/relay_run.cpp
@@ -142,10 +142,11 @@
     write_log();
 }
 
-std::chrono::nanoseconds relay_run::first_answer_timeout() const
+std::chrono::nanoseconds
+relay_run::first_answer_timeout(bool has_alternative) const
 {
     const auto remaining = time_left();
-    if (!may_rerun())
+    if (!may_move(has_alternative))
     {
         return remaining;
     }
@@ -157,10 +158,10 @@
     return std::min(remaining, seconds_of(timeout_s));
 }
 
-std::chrono::nanoseconds relay_run::pause_timeout() const
+std::chrono::nanoseconds relay_run::pause_timeout(bool has_alternative) const
 {
     const auto remaining = time_left();
-    if (!may_rerun() || terms_.pause_target <= core::duration())
+    if (!may_move(has_alternative) || terms_.pause_target <= core::duration())
     {
         return remaining;
     }
@@ -189,7 +190,7 @@
     ++attempt_counts_.attempts;
     upstream_attempt call(services_, terms_, caller_.pool());
     current_attempt_ = &call;
-    const auto limit = first_answer_timeout();
+    const auto limit = first_answer_timeout(target.has_alternative);
     first_event_deadline_ = services_.clock->now() + limit;
     const auto result = co_await call.start(
         view, target, caller_.message(), framer_.last_id(), limit);
@@ -212,9 +213,10 @@
             ":", core::name_of(execution_state_names, result.execution));
         co_return after_failure(result, target);
     }
-    const auto next = call.parsed_answer().is_stream
-                          ? co_await forward_events(call)
-                          : co_await forward_body(call);
+    const auto next =
+        call.parsed_answer().is_stream
+            ? co_await forward_events(call, target.has_alternative)
+            : co_await forward_body(call, target.has_alternative);
     current_attempt_ = nullptr;
     if (next == next_step::retry && call.via_vm().empty())
     {
@@ -238,6 +240,13 @@
     else
     {
         excluded_regions_.insert(failed_placement.region);
+bool relay_run::may_move(bool has_alternative) const
+{
+    return has_alternative && may_rerun() &&
+           !retry_budget_for(services_, terms_.role)
+                .is_exhausted(services_.clock->now());
+}
+
     }
     if (result.execution == execution_state::not_run)
     {
@@ -251,11 +260,14 @@
 }
 
 http::asio::awaitable<relay_run::next_step>
-relay_run::forward_body(upstream_attempt& from)
+relay_run::forward_body(upstream_attempt& from, bool has_alternative)
 {
     services_.router->record_first_event(
         placement_ticket_, services_.clock->now());
-    auto body = co_await from.read_all(time_left());
+    auto body = co_await from.read_all(
+        may_move(has_alternative)
+            ? first_event_deadline_ - services_.clock->now()
+            : time_left());
     if (!body.ok())
     {
         last_end_ = absl::IsCancelled(body.status())
@@ -291,7 +303,7 @@
 }
 
 http::asio::awaitable<relay_run::next_step>
-relay_run::forward_events(upstream_attempt& from)
+relay_run::forward_events(upstream_attempt& from, bool has_alternative)
 {
     // The head is sent with the first event, so that a stream that breaks
     // earlier can still be retried at another upstream.
@@ -304,10 +316,9 @@
     };
     for (;;)
     {
-        const auto limit = caller_.answer_started()
-                               ? pause_timeout()
-                               : first_event_deadline_ - services_.clock->now();
-        auto bytes = co_await from.read_some(limit);
+        const auto events_before = framer_.event_count();
+        auto bytes =
+            co_await from.read_some(progress_deadline - services_.clock->now());
         const bool ended = bytes.ok() && bytes->empty();
         auto events = bytes.ok() ? framer_.feed(*bytes)
                                  : absl::StatusOr<std::string>(bytes.status());
@@ -327,7 +338,21 @@
                 may_rerun() && time_left() > min_time_left && take_retry();
             co_return should_retry ? next_step::retry : next_step::give_up;
         }
-        if (!caller_.answer_started() && (ended || !events->empty()))
+        const bool has_progress = framer_.event_count() > events_before;
+        if (!caller_.answer_started() && !ended && !has_progress)
+        {
+            held += *events;
+            if (held.size() > event_framer::max_event_bytes)
+            {
+                from.cancel();
+            }
+            continue;
+        }
+        if (!held.empty())
+        {
+            events->insert(0, std::exchange(held, {}));
+        }
+        if (!caller_.answer_started())
         {
             first_event_at_ = services_.clock->now();
             services_.router->record_first_event(
@@ -339,7 +364,7 @@
                 co_return next_step::done;
             }
         }
-        if (!events->empty())
+        if (has_progress)
         {
             record_event_time();
         }
@@ -369,6 +394,10 @@
 http::asio::awaitable<void> relay_run::send_final_answer(
     const std::optional<routing::placement_result>& refused)
 {
+    // Progress is an event. Other bytes do not extend the time for the next
+    // one.
+    auto progress_deadline = first_event_deadline_;
+    std::string held; // Comments before the first event.
     if (caller_.answer_started())
     {
         // Without the last chunk the caller detects an incomplete stream.
@@ -409,6 +438,7 @@
 
 http::asio::awaitable<void> relay_run::send_refusal(gateway::refusal it)
 {
+            progress_deadline = last_event_at_ + pause_timeout(has_alternative);
     outcome_ = std::string(gateway::rule_of(it.reason).name);
     auto answer = services_.codec->make_refusal(it);
     if (terms_.relayed)
--- a/Libraries/LibRelay/relay_run.hpp
+++ b/Libraries/LibRelay/relay_run.hpp
@@ -37,8 +37,10 @@
 
     http::asio::awaitable<next_step>
     attempt(const fleet::traffic_view& view, const routing::placement& target);
-    http::asio::awaitable<next_step> forward_body(upstream_attempt& from);
-    http::asio::awaitable<next_step> forward_events(upstream_attempt& from);
+    http::asio::awaitable<next_step>
+    forward_body(upstream_attempt& from, bool has_alternative);
+    http::asio::awaitable<next_step>
+    forward_events(upstream_attempt& from, bool has_alternative);
     next_step after_failure(
         const attempt_result& result,
         const routing::placement& failed_placement);
@@ -49,8 +51,8 @@
     bool take_retry();
     bool may_rerun() const;
     std::chrono::nanoseconds time_left() const;
-    std::chrono::nanoseconds first_answer_timeout() const;
-    std::chrono::nanoseconds pause_timeout() const;
+    std::chrono::nanoseconds first_answer_timeout(bool has_alternative) const;
+    std::chrono::nanoseconds pause_timeout(bool has_alternative) const;
     bool is_resumable() const
     {
         return terms_.repeat == manifest::repeat_kind::resumable_stream;
@@ -63,6 +65,8 @@
     request_terms terms_;
     event_framer framer_;
     std::set<std::string> excluded_upstreams_;
+    /// Whether a slow attempt should be given up for another upstream.
+    bool may_move(bool has_alternative) const;
     std::set<std::string> excluded_regions_;
     upstream_attempt* current_attempt_ = nullptr; // Null between attempts.
     std::uint64_t placement_ticket_ = 0;          // Of the current placement.
@@ -71,7 +75,9 @@
     std::optional<http::response> failed_answer_;
     routing::placement_outcome last_end_ =
         routing::placement_outcome::cancelled; // Of the last attempt.
-    core::time_point first_event_deadline_{};  // Of the current attempt.
+    /// Time for the first event, or for all of an answer that may be asked
+    /// for again.
+    core::time_point first_event_deadline_{}; // Of the current attempt.
     core::time_point first_event_at_{};
     core::time_point last_event_at_{};
     core::duration longest_pause_{};       // Between two events.
--- a/Libraries/LibRetry/attempt_budget.cpp
+++ b/Libraries/LibRetry/attempt_budget.cpp
@@ -9,7 +9,7 @@
     ++current_bucket(now).requests;
 }
 
-bool attempt_budget::take(core::time_point now)
+bool attempt_budget::is_exhausted(core::time_point now) const
 {
     const std::int64_t oldest =
         slice_index(now) - static_cast<std::int64_t>(bucket_count) + 1;
@@ -23,8 +23,13 @@
             extra_attempts += it.extra_attempts;
         }
     }
-    if (static_cast<double>(extra_attempts + 1) >
-        request_share_ * static_cast<double>(requests) + base_attempts_)
+    return static_cast<double>(extra_attempts + 1) >
+           request_share_ * static_cast<double>(requests) + base_attempts_;
+}
+
+bool attempt_budget::take(core::time_point now)
+{
+    if (is_exhausted(now))
     {
         return false;
     }
--- a/Libraries/LibRetry/attempt_budget.hpp
+++ b/Libraries/LibRetry/attempt_budget.hpp
@@ -34,6 +34,9 @@
     /// budget of the window is used up.
     bool take(core::time_point now);
 
+    /// True if take() would return false.
+    bool is_exhausted(core::time_point now) const;
+
 private:
     struct bucket
     {
--- a/Libraries/LibRouting/backlog_router.cpp
+++ b/Libraries/LibRouting/backlog_router.cpp
@@ -303,6 +303,10 @@
     auto reason = placement_reason::shortest_wait;
     const bool share_backlog =
         remote && !overflow_region.empty() &&
+    const auto usable =
+        std::count_if(options.begin(), options.end(), [](const option& it) {
+            return !it.fallback;
+        });
         (!local || remote->estimate.expected_seconds <
                        std::max(limit, local->estimate.expected_seconds));
     const bool use_remote =
@@ -351,7 +355,9 @@
         out.retry_after = retry_after(request);
         return out;
     }
-    return commit(*best, request, reason, now);
+    out = commit(*best, request, reason, now);
+    out.chosen->has_alternative = usable > (best->fallback ? 0 : 1);
+    return out;
 }
 
 core::duration
--- a/Libraries/LibRouting/backlog_router.hpp
+++ b/Libraries/LibRouting/backlog_router.hpp
@@ -84,6 +84,7 @@
     std::string region;
     bool local = true;
     placement_reason reason = placement_reason::shortest_wait;
+    bool has_alternative = false; ///< Another upstream could take the call.
 };
 
 struct placement_result
