LibRelay, LibGateway: Keep running work whose machine is only silent

What callers could see: LibRelay gave up an order or a stream that may not be sent again when its upstream acknowledged nothing for 1.5 s, though a network that recovers would have brought the answer. LibGateway cancelled and repeated an idempotent direct call that sent no byte for 3 s when its upstream's reports were overdue, though the connection was sound. Cause: one silence timeout for all connections, chosen for calls that can be sent again; running_calls believed the membership about an upstream that its own connection still reached. Now the silence timeout belongs to the call: short if it can be sent again, else until its deadline. Direct calls are not cancelled by the membership; a machine that is lost ends its connections within 1.5 s, before its lease expires.

--- a/Libraries/LibGateway/running_calls.cpp
+++ b/Libraries/LibGateway/running_calls.cpp
@@ -1,4 +1,4 @@
-// Cancels calls to VMs and upstreams that have left the membership.
+// Cancels calls to VMs that have left the membership.
 
 #include <LibGateway/running_calls.hpp>
 
@@ -11,15 +11,15 @@
 
 bool is_target_gone(const membership::fleet_view& fleet, const running_call& it)
 {
-    if (!it.via_vm.empty())
+    // An upstream whose reports are overdue may still run its calls. If it is
+    // lost, the connection ends them before its lease expires.
+    if (it.via_vm.empty())
     {
-        const auto vm = fleet.vms.find(it.via_vm);
-        return vm == fleet.vms.end() ||
-               vm->second.state == membership::vm_state::dead;
+        return false;
     }
-    const auto upstream = fleet.upstreams.find(it.upstream);
-    return upstream == fleet.upstreams.end() ||
-           upstream->second.state == membership::upstream_state::expired;
+    const auto vm = fleet.vms.find(it.via_vm);
+    return vm == fleet.vms.end() ||
+           vm->second.state == membership::vm_state::dead;
 }
 
 } // namespace
--- a/Libraries/LibGateway/running_calls.hpp
+++ b/Libraries/LibGateway/running_calls.hpp
@@ -23,8 +23,7 @@
 
 struct running_call
 {
-    std::string via_vm;   ///< Empty for a direct call.
-    std::string upstream; ///< Used for a direct call only.
+    std::string via_vm; ///< Empty for a direct call.
     std::shared_ptr<const last_byte_time> last_byte;
     std::function<void()> on_lost; ///< Called at most once.
 };
@@ -35,9 +34,9 @@
     std::uint64_t add(running_call it);
     void remove(std::uint64_t id);
 
-    /// Cancels the calls whose VM is dead or whose upstream's lease has
-    /// expired, if they have received nothing for silence_time: the view of
-    /// this VM can be wrong about a peer that still answers.
+    /// Cancels the calls whose VM is dead, if they have received nothing for
+    /// silence_time: the view of this VM can be wrong about a peer that still
+    /// answers. Direct calls go on.
     void cancel_lost(const membership::fleet_view& fleet, core::time_point now);
 
     static constexpr std::chrono::seconds silence_time{3};
--- a/Libraries/LibGateway/target_call.cpp
+++ b/Libraries/LibGateway/target_call.cpp
@@ -224,15 +224,16 @@
 void target_call::register_running_call(
     const http::asio::any_io_executor& executor)
 {
-    // A call that may not be repeated is not cancelled when its target is
-    // lost: it can't be sent again, so it waits for its answer.
-    if (context_.route.repeat != resource::repeat_rule::idempotent)
+    // A call that may not be repeated is not cancelled when its VM is lost: it
+    // can't be sent again, so it waits for its answer.
+    if (via_vm_.empty() ||
+        context_.route.repeat != resource::repeat_rule::idempotent)
     {
         return;
     }
     update_last_byte_time();
     running_call_id_ = services_.calls.add(
-        {via_vm_, decision_.upstream, last_byte_,
+        {via_vm_, last_byte_,
          [executor, weak = std::weak_ptr<http::http_call>(call_)] {
              http::asio::post(executor, [weak] {
                  if (const auto call = weak.lock())
--- a/Libraries/LibHttp/connection_pool.cpp
+++ b/Libraries/LibHttp/connection_pool.cpp
@@ -11,15 +11,12 @@
 
 #include <algorithm>
 #include <charconv>
+#include <utility>
 
 namespace hyssoploft::http {
 
 namespace {
 
-/// An upstream or VM that acknowledges nothing for this time is down or cut
-/// off. Longer than an acknowledgement between regions and two losses of it.
-constexpr std::chrono::milliseconds silence_timeout{1500};
-
 // A peer that closed the connection, or sent bytes that nobody asked for,
 // makes an idle socket readable.
 bool is_quiet(beast::tcp_stream& stream)
@@ -32,6 +29,14 @@
 
 } // namespace
 
+void connection::limit_silence(std::chrono::milliseconds timeout)
+{
+    if (std::exchange(silence_timeout, timeout) != timeout)
+    {
+        core::set_silence_timeout(stream.socket().native_handle(), timeout);
+    }
+}
+
 absl::StatusOr<tcp::endpoint> parse_endpoint(const std::string& address)
 {
     const auto error = absl::InvalidArgumentError(core::concat(
@@ -112,8 +117,7 @@
             core::concat("connect to ", address, ": ", ec.message()));
     }
     it->stream.socket().set_option(tcp::no_delay(true), ec);
-    core::set_silence_timeout(
-        it->stream.socket().native_handle(), silence_timeout);
+    it->limit_silence(connection::default_silence_timeout);
     co_return it;
 }
 
--- a/Libraries/LibHttp/connection_pool.hpp
+++ b/Libraries/LibHttp/connection_pool.hpp
@@ -21,6 +21,13 @@
 {
     explicit connection(asio::io_context& context) : stream(context) {}
 
+    /// Breaks the connection if the peer acknowledges nothing for this time.
+    void limit_silence(std::chrono::milliseconds timeout);
+
+    /// A peer that is silent for this time is down or cut off. Longer than an
+    /// acknowledgement between regions and two losses of it.
+    static constexpr std::chrono::milliseconds default_silence_timeout{1500};
+
     /// Room for a head and one read; what needs more is no answer.
     static constexpr std::size_t max_buffer_bytes =
         max_header_bytes + 64 * 1024;
@@ -31,6 +38,7 @@
     bool reused = false; ///< It has carried a call before.
     std::chrono::steady_clock::time_point idle_since{};
     std::chrono::nanoseconds idle_limit{}; ///< Until the peer may close it.
+    std::chrono::milliseconds silence_timeout{}; ///< In force; 0: not set.
 };
 
 class connection_pool
--- a/Libraries/LibHttp/http_client.cpp
+++ b/Libraries/LibHttp/http_client.cpp
@@ -57,19 +57,21 @@
 asio::awaitable<absl::Status> http_call::start(
     std::string address, request message, bool fresh_connection,
     std::chrono::nanoseconds timeout)
+{
+    const auto make_message = [&message]() -> absl::StatusOr<request> {
+        return std::move(message);
+    };
+    co_return co_await start(
+        std::move(address), make_message, fresh_connection, timeout);
+}
+
+asio::awaitable<absl::Status> http_call::start(
+    std::string address, message_maker make_message, bool fresh_connection,
+    std::chrono::nanoseconds timeout)
 {
     const auto began = std::chrono::steady_clock::now();
-    message.version(11);
-    // A call that is passed on keeps the host that its caller named.
-    if (message.find(bhttp::field::host) == message.end())
-    {
-        message.set(bhttp::field::host, address);
-    }
-    message.keep_alive(true);
-    message.prepare_payload();
     auto acquired = co_await pool_.acquire(
-        std::move(address), fresh_connection,
-        std::min(timeout, connect_timeout));
+        address, fresh_connection, std::min(timeout, connect_timeout));
     if (cancelled_)
     {
         co_return absl::CancelledError("call cancelled");
@@ -78,7 +80,23 @@
     {
         co_return acquired.status();
     }
+    auto made = make_message();
+    if (!made.ok())
+    {
+        pool_.release(*std::move(acquired));
+        co_return made.status();
+    }
+    auto& message = *made;
+    message.version(11);
+    // A call that is passed on keeps the host that its caller named.
+    if (message.find(bhttp::field::host) == message.end())
+    {
+        message.set(bhttp::field::host, address);
+    }
+    message.keep_alive(true);
+    message.prepare_payload();
     connection_ = *std::move(acquired);
+    connection_->limit_silence(silence_timeout_);
     reused_ = connection_->reused;
     stage_ = call_stage::sending;
     auto& stream = connection_->stream;
--- a/Libraries/LibHttp/http_client.hpp
+++ b/Libraries/LibHttp/http_client.hpp
@@ -13,7 +13,9 @@
 #include <boost/beast/http/buffer_body.hpp>
 #include <boost/beast/http/parser.hpp>
 
+#include <chrono>
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -49,6 +51,23 @@
         std::string address, request message, bool fresh_connection,
         std::chrono::nanoseconds timeout);
 
+    using message_maker = std::function<absl::StatusOr<request>()>;
+
+    /// The same, with a message that is made once the connection is there:
+    /// what it states, and whether it may be sent at all, can depend on the
+    /// time of sending. After an error of `make_message` nothing was sent; it
+    /// is returned, and stage() is `connecting`.
+    asio::awaitable<absl::Status> start(
+        std::string address, message_maker make_message, bool fresh_connection,
+        std::chrono::nanoseconds timeout);
+
+    /// The call fails if its peer acknowledges nothing for this time; the
+    /// default is connection::default_silence_timeout. Call before start().
+    void set_silence_timeout(std::chrono::milliseconds timeout)
+    {
+        silence_timeout_ = timeout;
+    }
+
     /// Reads the head of one more answer on the same connection, in place of
     /// the current one, which belongs to another call. Errors as start();
     /// UNAVAILABLE if the connection ends with the current answer.
@@ -103,6 +122,8 @@
     connection_pool& pool_;
     std::unique_ptr<connection> connection_; // Null before and after the call.
     std::optional<bhttp::response_parser<bhttp::buffer_body>> parser_;
+    std::chrono::milliseconds silence_timeout_ =
+        connection::default_silence_timeout;
     call_stage stage_ = call_stage::connecting;
     bool cancelled_ = false;
     bool reused_ = false;
--- a/Libraries/LibRelay/upstream_attempt.cpp
+++ b/Libraries/LibRelay/upstream_attempt.cpp
@@ -5,6 +5,7 @@
 #include <LibCore/text.hpp>
 #include <LibFleet/entry_directory.hpp>
 #include <LibRelay/relay_ticket.hpp>
+#include <LibRelay/repeat_rules.hpp>
 
 namespace hyssoploft::relay {
 
@@ -32,7 +33,12 @@
 
     http::connection_pool& pool)
     : services_(services), terms_(terms), call_(pool)
-{}
+{
+    call_.set_silence_timeout(silence_timeout_for(
+        terms_.repeat, terms_.max_executions,
+        http::connection::default_silence_timeout,
+        terms_.deadline - services_.clock->now()));
+}
 
 bool upstream_attempt::choose_address(
     const fleet::traffic_view& view, const routing::placement& chosen)
--- a/Tests/LibHttp/server_client.cpp
+++ b/Tests/LibHttp/server_client.cpp
@@ -13,6 +13,9 @@
 #include <boost/asio/write.hpp>
 #include <doctest.h>
 
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
 #include <future>
 
 using namespace hyssoploft;
@@ -244,6 +247,53 @@
 
 TEST_CASE("malformed and oversize requests get a clear refusal")
 {
+// Guards against requests that are cut off by a planned stop because their
+// connection, which the answer before left open, is closed.
+TEST_CASE("a connection is closed only after an answer that says so")
+{
+    fixture it;
+    it.handler->after_answer = [&] {
+        it.server->close_kept_connections();
+    };
+    asio::io_context context;
+    tcp::socket socket(context);
+    socket.connect(*http::parse_endpoint(it.address));
+    http::beast::flat_buffer buffer;
+    for (const bool stays_open : {true, false})
+    {
+        const std::string text = "POST /then HTTP/1.1\r\nHost: a\r\n"
+                                 "Content-Length: 0\r\n\r\n";
+        boost::system::error_code ec;
+        asio::write(socket, asio::buffer(text), ec);
+        CHECK_FALSE(ec);
+        http::response answer;
+        http::bhttp::read(socket, buffer, answer, ec);
+        CHECK_FALSE(ec);
+        CHECK_EQ(answer.keep_alive(), stays_open);
+    }
+}
+
+TEST_CASE("a reused connection has the silence timeout of its call")
+{
+    http::asio::io_context context;
+    http::connection it(context);
+    it.stream.socket().open(tcp::v4());
+    const auto timeout = [&] {
+        int ms = 0;
+        socklen_t size = sizeof ms;
+        REQUIRE(
+            ::getsockopt(
+                it.stream.socket().native_handle(), IPPROTO_TCP,
+                TCP_USER_TIMEOUT, &ms, &size) == 0);
+        return ms;
+    };
+    for (const auto& wanted : {1500ms, 12'000ms, 12'000ms, 1500ms})
+    {
+        it.limit_silence(wanted);
+        CHECK_EQ(timeout(), wanted.count());
+    }
+}
+
     struct row
     {
         std::string text;
