LibRelay: Check permissions again next to their use

What callers and operators could see: a process that was paused between its decision and the send, or waited long for a connection, sent the call to an upstream in an evacuated data centre, to one that was leaving, to an address that another upstream had taken over, for a key that was withdrawn meanwhile, on a route that was gone, or after its deadline; the upstream was handed the time that had passed. Cause: everything was decided before connecting, and not looked at again. Now the message is made and the placement, the manifest and the deadline are checked once the connection is there; a placement that has expired is made anew. A changed manifest decides again on a request that was not sent yet. The control thread notices a pause of the process by its ticks; until a control VM has answered a later request, or for 1 s, requests wait for a new view. Ruled out: leases of rates and sums of loads end by a clock that counts suspension; reads of the manifest commit a barrier in the log, so that a leader that was paused cannot answer them.

--- a/Libraries/LibControl/fleet_control.cpp
+++ b/Libraries/LibControl/fleet_control.cpp
@@ -40,6 +40,12 @@
 /// A connection without a completed handshake is replaced after this time.
 constexpr std::chrono::milliseconds handshake_timeout{1000};
 constexpr std::chrono::milliseconds max_reconnect_backoff{500};
+/// Ticks further apart than this mean that the process was paused. Far above
+/// the delay of a tick on a VM that is short of processor time.
+constexpr std::chrono::seconds pause_threshold{2};
+/// After a pause, a VM that no control VM answers within this time is cut off
+/// and goes on with what it knows.
+constexpr std::chrono::seconds resume_timeout{1};
 
 } // namespace
 
@@ -92,6 +98,7 @@
         on_message(it);
     });
     started_ = clock_->now();
+    last_tick_ = started_;
     epoch_ = random_->next() | 1U;
     if (!options_.data_dir.empty())
     {
@@ -167,9 +174,32 @@
     });
 }
 
+void fleet_control::detect_pause(core::time_point now)
+{
+    const auto since = now - std::exchange(last_tick_, now);
+    if (since > pause_threshold)
+    {
+        resumed_at_ = now;
+        view_changed_ = true;
+        LOG(WARNING) << core::log_line("resumed_after_pause")
+                            .with("seconds", core::to_seconds(since));
+        for (auto& [vm, it] : peers_)
+        {
+            it.next_sync = {};
+        }
+    }
+    else if (resumed_at_ && now - *resumed_at_ > resume_timeout)
+    {
+        resumed_at_.reset();
+        view_changed_ = true;
+        LOG(WARNING) << core::log_line("no_news_after_pause");
+    }
+}
+
 void fleet_control::tick()
 {
     const auto now = clock_->now();
+    detect_pause(now);
     if (replica_)
     {
         replica_->tick();
--- a/Libraries/LibControl/fleet_control.hpp
+++ b/Libraries/LibControl/fleet_control.hpp
@@ -35,6 +35,7 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <set>
 #include <string>
 #include <thread>
@@ -154,6 +155,7 @@
     absl::Status open();
     void schedule_tick();
     void tick();
+    void detect_pause(core::time_point now);
 
     // replica_environment
     void
@@ -172,7 +174,9 @@
     // Exchange with control VMs (fleet_control_sync.cpp).
     void sync_peers();
     void sync_with(const std::string& vm);
-    void on_sync_answer(const std::string& vm, const fleet::sync_reply& it);
+    void on_sync_answer(
+        const std::string& vm, const fleet::sync_reply& it,
+        core::time_point requested_at);
     void serve_sync(const wire::incoming_message& it);
     fleet::sync_reply
     make_sync_answer(const fleet::sync_request& it, core::time_point now);
@@ -272,6 +276,10 @@
     std::set<std::string> evacuated_;
     std::map<std::string, core::time_point> recent_entry_vms_; // Last seen.
     core::time_point next_hello_{};
+    core::time_point last_tick_{};
+    /// End of the process's last pause; no value once a control VM answered a
+    /// later request, or none did in time.
+    std::optional<core::time_point> resumed_at_;
     core::time_point next_view_rebuild_{};
     bool view_changed_ = true; // Since the last publish().
 
--- a/Libraries/LibControl/fleet_control_sync.cpp
+++ b/Libraries/LibControl/fleet_control_sync.cpp
@@ -133,11 +133,13 @@
     }
     peer.request_pending = true;
     peer.resync_requested = false;
-    peer.next_sync = clock_->now() + sync_interval;
+    const auto requested_at = clock_->now();
+    peer.next_sync = requested_at + sync_interval;
     transport_->request(
         peer_address_of(vm), message_type::fleet_sync,
         wire::encode(make_sync_request(vm)), sync_timeout,
-        [this, vm](absl::StatusOr<wire::incoming_message> answer) {
+        [this, vm,
+         requested_at](absl::StatusOr<wire::incoming_message> answer) {
             auto& it = peers_[vm];
             it.request_pending = false;
             const auto decoded =
@@ -148,7 +150,7 @@
                 it.next_sync = clock_->now() + sync_retry_delay;
                 return;
             }
-            on_sync_answer(vm, *decoded);
+            on_sync_answer(vm, *decoded, requested_at);
             if (it.resync_requested)
             {
                 sync_with(vm);
@@ -157,10 +159,16 @@
 }
 
 void fleet_control::on_sync_answer(
-    const std::string& vm, const fleet::sync_reply& it)
+    const std::string& vm, const fleet::sync_reply& it,
+    core::time_point requested_at)
 {
     const auto now = clock_->now();
     const bool has_changes = it.is_snapshot || !it.vms.empty() ||
+    if (resumed_at_ && requested_at >= *resumed_at_)
+    {
+        resumed_at_.reset();
+        view_changed_ = true;
+    }
                              !it.upstreams.empty() ||
                              !it.removed_upstreams.empty();
     merger_.apply(vm, it, now);
--- a/Libraries/LibControl/fleet_control_view.cpp
+++ b/Libraries/LibControl/fleet_control_view.cpp
@@ -116,6 +116,7 @@
     }
     out->region_entry_vms = std::max<std::uint32_t>(1, entry_vms_in_region);
     out->live_control_vms = merger_.fresh_source_count(now);
+    out->is_resuming = resumed_at_.has_value();
     view_changed_ = false;
     const std::lock_guard lock(published_mutex_);
     published_ = std::move(out);
--- a/Libraries/LibFleet/traffic_view.hpp
+++ b/Libraries/LibFleet/traffic_view.hpp
@@ -9,6 +9,7 @@
 #include <LibManifest/route_table.hpp>
 #include <LibMembership/fleet_view.hpp>
 
+#include <chrono>
 #include <cstdint>
 #include <map>
 #include <memory>
@@ -39,8 +40,19 @@
     std::uint32_t entry_vms = 1;
     std::uint32_t region_entry_vms = 1; ///< Those in this VM's region.
     std::size_t live_control_vms = 0;   ///< Those that replied recently.
+    /// The process was paused, and no control VM has replied since.
+    bool is_resuming = false;
 };
 
+/// A running control thread renews the snapshot several times in this time.
+inline constexpr std::chrono::seconds max_view_age{2};
+
+/// True if the process was paused and may not know what happened meanwhile.
+inline bool is_outdated(const traffic_view& it, core::time_point now)
+{
+    return it.is_resuming || now - it.built > max_view_age;
+}
+
 /// Access to the control thread for traffic threads. Thread-safe; returns
 /// immediately.
 class traffic_source
--- a/Libraries/LibRelay/relay_handler.cpp
+++ b/Libraries/LibRelay/relay_handler.cpp
@@ -119,6 +119,7 @@
         return refused;
     }
     const auto& routes = *view->routes;
+    out.manifest_version = routes.version();
     const auto* route = routes.find_route(out.head.host, out.head.target);
     if (!route)
     {
@@ -252,8 +253,12 @@
     }
     auto terms = std::get<request_terms>(std::move(accepted));
     retry_budget_for(*services_, terms.role).on_request(terms.arrived);
-    co_await std::make_shared<relay_run>(*services_, it, std::move(terms))
-        ->run();
+    const auto run =
+        std::make_shared<relay_run>(*services_, it, std::move(terms));
+    run->set_readmission([this, &it] {
+        return admit(it);
+    });
+    co_await run->run();
 }
 
 http::asio::awaitable<void> peer_handler::handle(http::exchange& it)
--- a/Libraries/LibRelay/relay_run.cpp
+++ b/Libraries/LibRelay/relay_run.cpp
@@ -5,6 +5,10 @@
 #include <LibCore/text.hpp>
 #include <LibRelay/relay_ticket.hpp>
 
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
 #include <algorithm>
 #include <cmath>
 #include <utility>
@@ -30,6 +34,10 @@
 /// A stream that can resume at another upstream counts as stuck after this
 /// multiple of the target for pauses between events.
 constexpr double pause_timeout_factor = 2.0;
+/// Longest wait for news after a pause of the process: a VM that is cut off
+/// goes on with what it knows.
+constexpr std::chrono::milliseconds max_view_wait{1000};
+constexpr std::chrono::milliseconds view_poll_interval{20};
 
 std::chrono::nanoseconds seconds_of(double seconds)
 {
@@ -107,6 +115,13 @@
         {
             co_await send_final_answer(std::nullopt);
             break;
+        co_await wait_for_current_view();
+        }
+        if (auto refused = check_admission(*view))
+        {
+            detail_ = "manifest_changed";
+            co_await send_refusal(*std::move(refused));
+            break;
         }
         const auto view = services_.source->view();
         const auto now = services_.clock->now();
@@ -169,6 +184,54 @@
         remaining,
         seconds_of(
             pause_timeout_factor * core::to_seconds(terms_.pause_target)));
+std::optional<gateway::refusal>
+relay_run::check_admission(const fleet::traffic_view& view)
+{
+    const bool is_current = !readmit_ || !view.routes ||
+                            view.routes->version() == terms_.manifest_version;
+    // What may have run is not refused: that would say that it has not.
+    if (is_current || attempt_counts_.executions > 0)
+    {
+        return std::nullopt;
+    }
+    auto decided = readmit_();
+    if (auto* refused = std::get_if<gateway::refusal>(&decided))
+    {
+        return std::move(*refused);
+    }
+    auto terms = std::get<request_terms>(std::move(decided));
+    const bool is_same_account = terms.account == terms_.account;
+    if (!is_same_account)
+    {
+        return gateway::make_refusal(
+            refusal_reason::unknown_key, "the key belongs to another account");
+    }
+    terms.deadline = std::min(
+        terms_.deadline, terms_.arrived + (terms.deadline - terms.arrived));
+    terms.arrived = terms_.arrived;
+    terms.rate_tokens = terms_.rate_tokens;
+    terms.reserved = std::move(terms_.reserved);
+    terms_ = std::move(terms);
+    return std::nullopt;
+}
+
+// After a pause of the process, evacuations and manifests may have changed that
+// the other processes act on already.
+http::asio::awaitable<void> relay_run::wait_for_current_view()
+{
+    const auto until = services_.clock->now() + max_view_wait;
+    while (
+        services_.clock->now() < until && time_left() > min_time_left &&
+        !caller_.caller_gone() &&
+        fleet::is_outdated(*services_.source->view(), services_.clock->now()))
+    {
+        http::asio::steady_timer timer(caller_.executor(), view_poll_interval);
+        http::error_code ec;
+        co_await timer.async_wait(
+            http::asio::redirect_error(http::asio::use_awaitable, ec));
+    }
+}
+
 }
 
 bool relay_run::may_rerun() const
@@ -176,6 +239,13 @@
     return !terms_.relayed &&
            relay::may_rerun(
                terms_.repeat, terms_.max_executions, attempt_counts_);
+bool relay_run::may_move(bool has_alternative) const
+{
+    return has_alternative && may_rerun() &&
+           !retry_budget_for(services_, terms_.role)
+                .is_exhausted(services_.clock->now());
+}
+
 }
 
 bool relay_run::take_retry()
@@ -233,20 +303,19 @@
         outcome_ = "caller_gone";
         return next_step::done;
     }
-    if (failed_placement.local)
+    const bool is_expired =
+        !result.was_sent && result.end == placement_outcome::cancelled;
+    if (is_expired)
+    {
+        // The upstream did not fail; the next choice follows the newest view.
+    }
+    else if (failed_placement.local)
     {
         excluded_upstreams_.insert(failed_placement.upstream);
     }
     else
     {
         excluded_regions_.insert(failed_placement.region);
-bool relay_run::may_move(bool has_alternative) const
-{
-    return has_alternative && may_rerun() &&
-           !retry_budget_for(services_, terms_.role)
-                .is_exhausted(services_.clock->now());
-}
-
     }
     if (result.execution == execution_state::not_run)
     {
@@ -312,6 +381,10 @@
             from.head().result(), 11);
         services_.codec->copy_answer_headers(from.head(), head.base());
         status_ = head.result_int();
+    // Progress is an event. Other bytes do not extend the time for the next
+    // one.
+    auto progress_deadline = first_event_deadline_;
+    std::string held; // Comments before the first event.
         co_return co_await caller_.begin_stream(std::move(head));
     };
     for (;;)
@@ -365,6 +438,7 @@
             }
         }
         if (has_progress)
+            progress_deadline = last_event_at_ + pause_timeout(has_alternative);
         {
             record_event_time();
         }
@@ -394,10 +468,6 @@
 http::asio::awaitable<void> relay_run::send_final_answer(
     const std::optional<routing::placement_result>& refused)
 {
-    // Progress is an event. Other bytes do not extend the time for the next
-    // one.
-    auto progress_deadline = first_event_deadline_;
-    std::string held; // Comments before the first event.
     if (caller_.answer_started())
     {
         // Without the last chunk the caller detects an incomplete stream.
@@ -438,7 +508,6 @@
 
 http::asio::awaitable<void> relay_run::send_refusal(gateway::refusal it)
 {
-            progress_deadline = last_event_at_ + pause_timeout(has_alternative);
     outcome_ = std::string(gateway::rule_of(it.reason).name);
     auto answer = services_.codec->make_refusal(it);
     if (terms_.relayed)
--- a/Libraries/LibRelay/relay_run.hpp
+++ b/Libraries/LibRelay/relay_run.hpp
@@ -9,11 +9,13 @@
 #include <LibRelay/repeat_rules.hpp>
 #include <LibRelay/upstream_attempt.hpp>
 
+#include <functional>
 #include <memory>
 #include <optional>
 #include <set>
 #include <string>
 #include <string_view>
+#include <variant>
 
 namespace hyssoploft::relay {
 
@@ -24,6 +26,15 @@
     relay_run(
         relay_services& services, http::exchange& caller, request_terms terms);
 
+    /// Decides again on the request under the manifest in force, if that
+    /// changed before the request was sent. `again` outlives run().
+    using readmission =
+        std::function<std::variant<request_terms, gateway::refusal>()>;
+    void set_readmission(readmission again)
+    {
+        readmit_ = std::move(again);
+    }
+
     http::asio::awaitable<void> run();
 
 private:
@@ -48,8 +59,14 @@
     send_final_answer(const std::optional<routing::placement_result>& refused);
     http::asio::awaitable<void> send_refusal(gateway::refusal it);
     routing::placement_request make_placement_request() const;
+    /// The refusal of a request that the manifest in force does not permit.
+    std::optional<gateway::refusal>
+    check_admission(const fleet::traffic_view& view);
+    http::asio::awaitable<void> wait_for_current_view();
     bool take_retry();
     bool may_rerun() const;
+    /// Whether a slow attempt should be given up for another upstream.
+    bool may_move(bool has_alternative) const;
     std::chrono::nanoseconds time_left() const;
     std::chrono::nanoseconds first_answer_timeout(bool has_alternative) const;
     std::chrono::nanoseconds pause_timeout(bool has_alternative) const;
@@ -63,10 +80,9 @@
     relay_services& services_;
     http::exchange& caller_;
     request_terms terms_;
+    readmission readmit_; // May be empty.
     event_framer framer_;
     std::set<std::string> excluded_upstreams_;
-    /// Whether a slow attempt should be given up for another upstream.
-    bool may_move(bool has_alternative) const;
     std::set<std::string> excluded_regions_;
     upstream_attempt* current_attempt_ = nullptr; // Null between attempts.
     std::uint64_t placement_ticket_ = 0;          // Of the current placement.
--- a/Libraries/LibRelay/relay_services.hpp
+++ b/Libraries/LibRelay/relay_services.hpp
@@ -84,6 +84,7 @@
     std::uint32_t urgency = 0;
     std::uint32_t max_executions = 1; ///< Limit on upstreams that may run it.
     std::set<std::string> allowed_regions; ///< Empty: all.
+    std::uint64_t manifest_version = 0; ///< That admitted it, unless relayed.
     bool relayed = false; ///< Forwarded by another VM; stays in this region.
     call_head head;
     double rate_tokens = 0; ///< Charged to the account's rate; may be 0.
--- a/Libraries/LibRelay/upstream_attempt.cpp
+++ b/Libraries/LibRelay/upstream_attempt.cpp
@@ -13,13 +13,12 @@
 
 /// Limit on skipped late answers to earlier calls on the same connection.
 constexpr int max_stale_answers = 2;
+/// A call with less time left is not sent: a round trip and a short
+/// computation take longer.
+constexpr std::chrono::milliseconds min_time_left{20};
 /// Bodies of refusals are short.
 constexpr std::size_t max_refusal_bytes = 64 * 1024;
 
-} // namespace
-
-upstream_attempt::upstream_attempt(
-    relay_services& services, const request_terms& terms,
 /// Statuses that promise callers that a request has not run.
 constexpr bool promises_not_run(unsigned status)
 {
@@ -31,6 +30,10 @@
            status == too_many_requests || status == unavailable;
 }
 
+} // namespace
+
+upstream_attempt::upstream_attempt(
+    relay_services& services, const request_terms& terms,
     http::connection_pool& pool)
     : services_(services), terms_(terms), call_(pool)
 {
@@ -61,17 +64,39 @@
     return true;
 }
 
-http::asio::awaitable<attempt_result> upstream_attempt::start(
-    const fleet::traffic_view& view, const routing::placement& target,
-    const http::request& from, const std::string& last_event_id,
-    std::chrono::nanoseconds limit)
+absl::Status
+upstream_attempt::check_target(const routing::placement& target) const
 {
-    if (!choose_address(view, target))
+    const auto view = services_.source->view();
+    if (terms_.deadline - services_.clock->now() < min_time_left)
     {
-        co_return attempt_result{
-            execution_state::not_run, routing::placement_outcome::unreachable,
-            false, "no address for the call"};
+        return absl::UnavailableError("no time left at the time of sending");
     }
+    // Another manifest may have withdrawn the key or moved the route.
+    if (!terms_.relayed && view->routes &&
+        view->routes->version() != terms_.manifest_version)
+    {
+        return absl::UnavailableError("admitted under an older manifest");
+    }
+    if (!target.local)
+    {
+        return absl::OkStatus();
+    }
+    const auto found = view->fleet->upstreams.find(target.upstream);
+    const bool is_usable =
+        found != view->fleet->upstreams.end() &&
+        found->second.state == membership::upstream_state::serving &&
+        found->second.address == address_ &&
+        !view->evacuated.contains(found->second.data_center);
+    return is_usable ? absl::OkStatus()
+                     : absl::UnavailableError(
+                           "the upstream may not be used any more");
+}
+
+http::request upstream_attempt::make_message(
+    const routing::placement& target, const http::request& from,
+    const std::string& last_event_id) const
+{
     call_terms upstream_terms;
     upstream_terms.upstream = target.local ? target.upstream : std::string();
     upstream_terms.account = terms_.account;
@@ -96,18 +121,46 @@
             terms_.repeat == manifest::repeat_kind::idempotent;
         message.set(ticket_header, encode(ticket, services_.fleet_key));
     }
+    return message;
+}
+
+http::asio::awaitable<attempt_result> upstream_attempt::start(
+    const fleet::traffic_view& view, const routing::placement& target,
+    const http::request& from, const std::string& last_event_id,
+    std::chrono::nanoseconds limit)
+{
+    if (!choose_address(view, target))
+    {
+        co_return attempt_result{
+            execution_state::not_run, routing::placement_outcome::unreachable,
+            false, "no address for the call"};
+    }
+    bool is_expired = false;
+    // Made when the connection is there: the process may have been paused, or
+    // connecting may have taken long.
+    const auto message_at_sending = [&]() -> absl::StatusOr<http::request> {
+        auto message = make_message(target, from, last_event_id);
+        const auto status = check_target(target);
+        is_expired = !status.ok();
+        if (is_expired)
+        {
+            return status;
+        }
+        return message;
+    };
     const auto status =
-        co_await call_.start(address_, std::move(message), false, limit);
+        co_await call_.start(address_, message_at_sending, false, limit);
     if (status.ok())
     {
         co_return co_await classify_answer(limit);
     }
     if (call_.stage() == http::call_stage::connecting)
     {
+        const bool is_cancelled = is_expired || absl::IsCancelled(status);
         co_return attempt_result{
             execution_state::not_run,
-            absl::IsCancelled(status) ? routing::placement_outcome::cancelled
-                                      : routing::placement_outcome::unreachable,
+            is_cancelled ? routing::placement_outcome::cancelled
+                         : routing::placement_outcome::unreachable,
             false, status.ToString()};
     }
     co_return attempt_result{
@@ -127,6 +180,20 @@
         {
             co_return absl::OkStatus();
         }
+        if (parsed_answer_.request_id.empty())
+        {
+            // VMs of the fleet answer once. An upstream's answer that names no
+            // call belongs to this one only if there was no other.
+            if (!via_vm_.empty() || !call_.reused_connection())
+            {
+                co_return absl::OkStatus();
+            }
+            services_.metrics
+                ->get_counter("hyssoploft_unidentified_answers_total")
+                .add();
+            co_return absl::DataLossError(
+                "the answer names no call, and the connection carried others");
+        }
         services_.metrics->get_counter("hyssoploft_crossed_answers_total")
             .add();
         if (n == max_stale_answers)
@@ -148,6 +215,7 @@
     const auto status = co_await skip_stale_answers(limit);
     if (!status.ok())
     {
+        call_.cancel();
         co_return attempt_result{
             execution_state::may_have_run,
             absl::IsCancelled(status) ? routing::placement_outcome::cancelled
@@ -174,6 +242,15 @@
             execution_state::not_run, end, true,
             core::concat("status ", code, body.ok() ? "" : ", cut")};
     }
+    if (promises_not_run(code) && not_run_value.empty())
+    {
+        // Nobody states that the call has not run, so callers must not hear a
+        // status that promises it.
+        call_.cancel();
+        co_return attempt_result{
+            execution_state::may_have_run, routing::placement_outcome::errored,
+            true, core::concat("status ", code, " without a statement")};
+    }
     const bool is_success = code >= 200 && code < 300;
     const bool is_valid = !parsed_answer_.has_content_encoding &&
                           (!is_success || (parsed_answer_.signed_by_upstream &&
@@ -192,27 +269,3 @@
 }
 
 } // namespace hyssoploft::relay
-        if (parsed_answer_.request_id.empty())
-        {
-            // VMs of the fleet answer once. An upstream's answer that names no
-            // call belongs to this one only if there was no other.
-            if (!via_vm_.empty() || !call_.reused_connection())
-            {
-                co_return absl::OkStatus();
-            }
-            services_.metrics
-                ->get_counter("hyssoploft_unidentified_answers_total")
-                .add();
-            co_return absl::DataLossError(
-                "the answer names no call, and the connection carried others");
-        }
-        call_.cancel();
-    if (promises_not_run(code) && not_run_value.empty())
-    {
-        // Nobody states that the call has not run, so callers must not hear a
-        // status that promises it.
-        call_.cancel();
-        co_return attempt_result{
-            execution_state::may_have_run, routing::placement_outcome::errored,
-            true, core::concat("status ", code, " without a statement")};
-    }
--- a/Libraries/LibRelay/upstream_attempt.hpp
+++ b/Libraries/LibRelay/upstream_attempt.hpp
@@ -40,6 +40,8 @@
         http::connection_pool& pool);
 
     /// Sends the call and reads the head of the answer; `limit` bounds both.
+    /// The call is not sent if the target may not be used any more once there
+    /// is a connection.
     http::asio::awaitable<attempt_result> start(
         const fleet::traffic_view& view, const routing::placement& target,
         const http::request& from, const std::string& last_event_id,
@@ -83,6 +85,12 @@
 private:
     bool choose_address(
         const fleet::traffic_view& view, const routing::placement& chosen);
+    /// UNAVAILABLE if the placement, the admission or the request's time has
+    /// expired since the target was chosen.
+    absl::Status check_target(const routing::placement& target) const;
+    http::request make_message(
+        const routing::placement& target, const http::request& from,
+        const std::string& last_event_id) const;
     http::asio::awaitable<absl::Status>
     skip_stale_answers(std::chrono::nanoseconds limit);
     http::asio::awaitable<attempt_result>
