LibRelay, LibHttp: Answer all accepted requests in a planned stop

What callers could see during a planned stop: (1) a request that waited for borrowed credit, or whose refusal was being sent, was cut off, because only requests past admission counted as running; (2) a connection that the last answer had left open was closed without a word when the stop began just then, together with the request that the caller had sent on it; (3) a control VM ended after 1 s whatever calls it was answering. Cause: fleet_process counted relay_run objects; server_session closed by the state of the process, not by what its answer said. Now leave_sequence, without I/O, ends a VM once no request was open for 250 ms, counted by the servers from reading to answering, or at the end of the grace time. The log lines keep their names; `running` is now `open_requests`.

--- a/Libraries/LibHttp/exchange.hpp
+++ b/Libraries/LibHttp/exchange.hpp
@@ -70,11 +70,20 @@
         keep_alive_ = false;
     }
 
+    /// Whether an answer that begins now says that the connection stays open.
     bool keep_alive() const
     {
         return keep_alive_ && !(draining_ && *draining_);
     }
 
+    /// False if the answer said that the connection closes, or was cut. A
+    /// connection is closed only then: its caller may have sent the next
+    /// request already.
+    bool stays_open() const
+    {
+        return keep_alive_;
+    }
+
     /// While this is set, answers say that the connection closes. The flag
     /// outlives the exchange.
     void close_while(const std::atomic<bool>& draining)
--- a/Libraries/LibHttp/server_session.cpp
+++ b/Libraries/LibHttp/server_session.cpp
@@ -86,9 +86,8 @@
         more = co_await read_request(message);
         if (more)
         {
-            more = message.keep_alive();
-            co_await handle_one(std::move(message));
-            more = more && stream_.socket().is_open() && !load_->draining;
+            more = co_await handle_one(std::move(message)) &&
+                   stream_.socket().is_open();
         }
     }
     error_code ec;
@@ -161,7 +160,7 @@
     }
 }
 
-asio::awaitable<void> server_session::handle_one(request message)
+asio::awaitable<bool> server_session::handle_one(request message)
 {
     ++load_->requests;
     const auto it =
@@ -186,10 +185,12 @@
     // NOTE: Ends the wait of watch_caller() too, the only one outstanding.
     error_code ec;
     stream_.socket().cancel(ec);
-    if (failed || !it->keep_alive() || it->caller_gone())
+    const bool stays_open = !failed && it->stays_open() && !it->caller_gone();
+    if (!stays_open)
     {
         stream_.close();
     }
+    co_return stays_open;
 }
 
 void server_session::watch_caller(const std::shared_ptr<exchange>& it)
--- a/Libraries/LibHttp/server_session.hpp
+++ b/Libraries/LibHttp/server_session.hpp
@@ -35,7 +35,8 @@
     asio::awaitable<void> run();
     asio::awaitable<bool> read_request(request& out);
     asio::awaitable<void> reject(const error_code& ec);
-    asio::awaitable<void> handle_one(request message);
+    /// False if the connection is to be closed.
+    asio::awaitable<bool> handle_one(request message);
     void watch_caller(const std::shared_ptr<exchange>& it);
 
     beast::tcp_stream stream_;
--- a/Libraries/LibRelay/relay_run.cpp
+++ b/Libraries/LibRelay/relay_run.cpp
@@ -103,7 +103,6 @@
             current_attempt_->cancel();
         }
     });
-    ++services_.running;
     for (;;)
     {
         if (caller_.caller_gone())
@@ -115,15 +114,15 @@
         {
             co_await send_final_answer(std::nullopt);
             break;
-        co_await wait_for_current_view();
         }
+        co_await wait_for_current_view();
+        const auto view = services_.source->view();
         if (auto refused = check_admission(*view))
         {
             detail_ = "manifest_changed";
             co_await send_refusal(*std::move(refused));
             break;
         }
-        const auto view = services_.source->view();
         const auto now = services_.clock->now();
         const auto placed =
             services_.router->choose(*view, make_placement_request(), now);
@@ -148,7 +147,6 @@
             break;
         }
     }
-    --services_.running;
     caller_.on_caller_gone(nullptr);
     if (terms_.reserved && attempt_counts_.executions == 0)
     {
@@ -184,6 +182,8 @@
         remaining,
         seconds_of(
             pause_timeout_factor * core::to_seconds(terms_.pause_target)));
+}
+
 std::optional<gateway::refusal>
 relay_run::check_admission(const fleet::traffic_view& view)
 {
@@ -232,13 +232,13 @@
     }
 }
 
-}
-
 bool relay_run::may_rerun() const
 {
     return !terms_.relayed &&
            relay::may_rerun(
                terms_.repeat, terms_.max_executions, attempt_counts_);
+}
+
 bool relay_run::may_move(bool has_alternative) const
 {
     return has_alternative && may_rerun() &&
@@ -246,8 +246,6 @@
                 .is_exhausted(services_.clock->now());
 }
 
-}
-
 bool relay_run::take_retry()
 {
     return retry_budget_for(services_, terms_.role)
@@ -381,12 +379,12 @@
             from.head().result(), 11);
         services_.codec->copy_answer_headers(from.head(), head.base());
         status_ = head.result_int();
+        co_return co_await caller_.begin_stream(std::move(head));
+    };
     // Progress is an event. Other bytes do not extend the time for the next
     // one.
     auto progress_deadline = first_event_deadline_;
     std::string held; // Comments before the first event.
-        co_return co_await caller_.begin_stream(std::move(head));
-    };
     for (;;)
     {
         const auto events_before = framer_.event_count();
@@ -438,9 +436,9 @@
             }
         }
         if (has_progress)
-            progress_deadline = last_event_at_ + pause_timeout(has_alternative);
         {
             record_event_time();
+            progress_deadline = last_event_at_ + pause_timeout(has_alternative);
         }
         if (!events->empty() && !(co_await caller_.write(*events)).ok())
         {
--- a/Libraries/LibRelay/relay_services.hpp
+++ b/Libraries/LibRelay/relay_services.hpp
@@ -51,7 +51,6 @@
     request_log log;
     /// Set by the shutdown thread.
     std::atomic<bool> is_draining{false};
-    std::atomic<std::size_t> running{0}; ///< Read by the shutdown thread.
 };
 
 /// The retry budget of a role, with this VM's part of the fleet-wide slack.
@@ -84,8 +83,8 @@
     std::uint32_t urgency = 0;
     std::uint32_t max_executions = 1; ///< Limit on upstreams that may run it.
     std::set<std::string> allowed_regions; ///< Empty: all.
-    std::uint64_t manifest_version = 0; ///< That admitted it, unless relayed.
     bool relayed = false; ///< Forwarded by another VM; stays in this region.
+    std::uint64_t manifest_version = 0; ///< That admitted it, unless relayed.
     call_head head;
     double rate_tokens = 0; ///< Charged to the account's rate; may be 0.
     std::optional<rate::reservation> reserved;
--- a/Services/hyssoploft/fleet_process.cpp
+++ b/Services/hyssoploft/fleet_process.cpp
@@ -32,6 +32,8 @@
 /// have learned of other VMs: the time to live of the directory's answers and
 /// an exchange of state.
 constexpr std::chrono::milliseconds accept_while_leaving{3000};
+/// Covers a request that was on its way when callers learned of other VMs.
+constexpr std::chrono::milliseconds quiet_before_stop{250};
 /// Kept free at the end of the time that the platform gives.
 constexpr std::chrono::milliseconds stop_margin{400};
 /// A control VM hands over leadership and finishes calls meanwhile.
@@ -107,6 +109,10 @@
     {
         return status;
     }
+    leave_ = std::make_unique<relay::leave_sequence>(relay::leave_settings{
+        settings_.entry_address.empty() ? control_leaving
+                                        : accept_while_leaving,
+        quiet_before_stop, settings_.stop_grace - stop_margin});
     traffic_ = std::make_shared<http::traffic_thread>();
     if (!settings_.control_address.empty())
     {
@@ -239,6 +245,16 @@
     return !leaving_ && control_->view()->routes != nullptr;
 }
 
+std::size_t fleet_process::open_requests() const
+{
+    std::size_t out = 0;
+    for (const auto& it : servers_)
+    {
+        out += it->requests();
+    }
+    return out;
+}
+
 int fleet_process::run()
 {
     signals_.add(SIGTERM);
@@ -348,25 +364,19 @@
         reload_if_changed(false);
         return;
     }
-    const auto since = now - left_;
-    if (!relay_)
+    const auto before = leave_->phase();
+    const auto open = open_requests();
+    const auto phase = leave_->update(open, now);
+    if (phase == before)
     {
-        stopped_ = since >= control_leaving;
         return;
     }
-    if (since >= accept_while_leaving && !relay_->is_draining)
+    stopped_ = phase == relay::leave_phase::stopped;
+    LOG(INFO) << core::log_line(stopped_ ? "stopped" : "refusing_new_requests")
+                     .with("open_requests", open);
+    if (relay_)
     {
         relay_->is_draining = true;
-        LOG(INFO) << core::log_line("refusing_new_requests")
-                         .with("running", relay_->running.load());
-    }
-    const bool idle = relay_->is_draining && relay_->running == 0;
-    stopped_ = (idle && since >= accept_while_leaving + step_interval) ||
-               since >= settings_.stop_grace - stop_margin;
-    if (stopped_)
-    {
-        LOG(INFO) << core::log_line("stopped").with(
-            "running", relay_->running.load());
     }
 }
 
@@ -398,9 +408,9 @@
 void fleet_process::start_leaving()
 {
     leaving_ = true;
-    left_ = clock_->now();
+    leave_->begin(clock_->now());
     LOG(INFO) << core::log_line("leaving").with(
-        "running", relay_ ? relay_->running.load() : 0);
+        "open_requests", open_requests());
     control_->begin_leaving();
     for (const auto& it : {entry_server_, relay_server_})
     {
--- a/Services/hyssoploft/fleet_process.hpp
+++ b/Services/hyssoploft/fleet_process.hpp
@@ -10,6 +10,7 @@
 #include <LibControl/fleet_control.hpp>
 #include <LibHttp/http_server.hpp>
 #include <LibHttp/traffic_thread.hpp>
+#include <LibRelay/leave_sequence.hpp>
 #include <LibRelay/relay_services.hpp>
 
 #include <boost/asio/io_context.hpp>
@@ -55,6 +56,9 @@
         std::shared_ptr<http::request_handler> handler,
         std::shared_ptr<http::http_server>* out = nullptr);
     bool is_ready() const;
+    /// Requests that were read and are not answered, also those that wait for
+    /// credit or are being refused.
+    std::size_t open_requests() const;
     void wait_for_signal();
     void schedule();
     void step();
@@ -81,7 +85,7 @@
     std::shared_ptr<http::http_server> relay_server_;
     std::int64_t settings_changed_ = 0; // Modification time of the file.
     std::atomic<bool> leaving_{false};  // Read by the traffic thread.
-    core::time_point left_{};           // When leaving began.
+    std::unique_ptr<relay::leave_sequence> leave_; // Never null after open().
     int exit_code_ = 0;
     bool stopped_ = false;
 };
--- a/Tests/LibHttp/server_client.cpp
+++ b/Tests/LibHttp/server_client.cpp
@@ -11,11 +11,13 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/use_future.hpp>
 #include <boost/asio/write.hpp>
+#include <boost/beast/http/read.hpp>
 #include <doctest.h>
-
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
+
+#include <functional>
 #include <future>
 
 using namespace hyssoploft;
@@ -44,6 +46,13 @@
                 asio::redirect_error(asio::use_awaitable, ec));
             co_return;
         }
+        if (it.message().target() == "/then")
+        {
+            (void)co_await it.respond(
+                http::response(http::bhttp::status::ok, 11));
+            after_answer();
+            co_return;
+        }
         if (it.message().target() == "/stream")
         {
             (void)co_await it.begin_stream({http::bhttp::status::ok, 11});
@@ -65,6 +74,7 @@
     }
 
     std::promise<void> gone;
+    std::function<void()> after_answer; ///< Of "/then".
 };
 
 struct fixture
@@ -237,16 +247,6 @@
     }
 }
 
-TEST_CASE("whole and streamed answers arrive")
-{
-    fixture it;
-    CHECK_EQ(it.call(it.address, "/").value(), "hello");
-    CHECK_EQ(it.call(it.address, "/stream").value(), "onetwo");
-    CHECK(it.last_stage == http::call_stage::complete);
-}
-
-TEST_CASE("malformed and oversize requests get a clear refusal")
-{
 // Guards against requests that are cut off by a planned stop because their
 // connection, which the answer before left open, is closed.
 TEST_CASE("a connection is closed only after an answer that says so")
@@ -294,6 +294,16 @@
     }
 }
 
+TEST_CASE("whole and streamed answers arrive")
+{
+    fixture it;
+    CHECK_EQ(it.call(it.address, "/").value(), "hello");
+    CHECK_EQ(it.call(it.address, "/stream").value(), "onetwo");
+    CHECK(it.last_stage == http::call_stage::complete);
+}
+
+TEST_CASE("malformed and oversize requests get a clear refusal")
+{
     struct row
     {
         std::string text;
--- /dev/null
+++ b/Tests/LibRelay/planned_stop.cpp
@@ -0,0 +1,120 @@
+// Guards against requests that were accepted and are cut off without an answer
+// by a planned stop, because they were not counted as running.
+
+#include "relay_fixture.hpp"
+
+#include <LibRelay/leave_sequence.hpp>
+
+#include <doctest.h>
+
+using namespace hyssoploft;
+using namespace hyssoploft::tests;
+using namespace std::chrono_literals;
+using relay::leave_phase;
+
+TEST_CASE("a VM that leaves ends when nothing is left to answer")
+{
+    struct step
+    {
+        std::chrono::milliseconds at; // Since the start of the stop.
+        std::size_t open;
+        leave_phase expected;
+    };
+    struct row
+    {
+        std::string name;
+        std::vector<step> steps;
+    };
+    const row rows[] = {
+        {"idle",
+         {{0ms, 0, leave_phase::accepting},
+          {2900ms, 0, leave_phase::accepting},
+          {3000ms, 0, leave_phase::refusing},
+          {3100ms, 0, leave_phase::refusing},
+          {3250ms, 0, leave_phase::stopped}}},
+        {"a request is open",
+         {{3000ms, 1, leave_phase::refusing},
+          {6000ms, 1, leave_phase::refusing},
+          {6200ms, 0, leave_phase::refusing},
+          {6250ms, 0, leave_phase::stopped}}},
+        {"a request comes at the end of the accepting phase",
+         {{2990ms, 0, leave_phase::accepting},
+          {3240ms, 1, leave_phase::refusing},
+          {3480ms, 0, leave_phase::refusing},
+          {3490ms, 0, leave_phase::stopped}}},
+        {"refusals keep coming",
+         {{3000ms, 0, leave_phase::refusing},
+          {3200ms, 2, leave_phase::refusing},
+          {3400ms, 1, leave_phase::refusing},
+          {3600ms, 0, leave_phase::refusing},
+          {3650ms, 0, leave_phase::stopped}}},
+        {"the grace time is over",
+         {{3000ms, 1, leave_phase::refusing},
+          {7600ms, 1, leave_phase::stopped}}},
+        {"paused since the start", {{9000ms, 1, leave_phase::stopped}}},
+    };
+    const core::time_point start{100s};
+    for (const auto& row : rows)
+    {
+        CAPTURE(row.name);
+        relay::leave_sequence it({3000ms, 250ms, 7600ms});
+        CHECK(it.update(3, start - 1s) == leave_phase::serving);
+        it.begin(start);
+        it.begin(start + 1ms);
+        for (const auto& step : row.steps)
+        {
+            CAPTURE(step.at.count());
+            CHECK(it.update(step.open, start + step.at) == step.expected);
+        }
+    }
+}
+
+TEST_CASE("requests count as open from their reading to their answer")
+{
+    relay_fixture it;
+    it.set_rate(100);
+    const auto lender = std::make_shared<slow_lender>(it.state);
+    it.services->lender = lender;
+    it.limiter->has_credit = false;
+    it.upstream.set_replies({{"", after_reply::hold}});
+    // Waits for credit.
+    test_caller borrower(it.address);
+    borrower.send(relay_request("/order/1", "a", "x-key: k\r\n"));
+    CHECK(it.state.wait([&] {
+        return lender->waiting() == 1;
+    }));
+    CHECK_EQ(it.server->requests(), 1);
+    lender->lend_all();
+    // Waits for its upstream.
+    CHECK(it.state.wait([&] {
+        return it.upstream.received.size() == 1;
+    }));
+    CHECK_EQ(it.server->requests(), 1);
+    it.clock->skip(4s);
+    borrower.leave();
+    CHECK(it.state.wait([&] {
+        return it.upstream.closed_by_gateway == 1;
+    }));
+}
+
+TEST_CASE("a request that comes while the VM leaves gets an answer")
+{
+    relay_fixture it;
+    it.upstream.set_replies({{signed_answer(200, "one")}});
+    test_caller kept(it.address);
+    kept.send(relay_request("/order/1", "a"));
+    CHECK_EQ(kept.read().body, "one");
+    it.server->close_kept_connections();
+    // On the connection that the caller keeps, then on a new one.
+    kept.send(relay_request("/order/2", "b"));
+    CHECK_EQ(kept.read().body, "one");
+    CHECK_EQ(it.call(relay_request("/order/3", "c")).body, "one");
+    it.services->is_draining = true;
+    const auto refused = it.call(relay_request("/order/4", "d"));
+    CHECK_EQ(refused.status, 503);
+    CHECK_EQ(
+        it.state.with([&] {
+            return it.upstream.received.size();
+        }),
+        3);
+}
