LibFleet: Send load sums from control VMs of the region only

Cause: each control VM sent the sums of all upstreams' loads (82 rows) to each entry VM 2.5 times a second: VMs x control VMs x upstreams. Now the control VMs of a VM's own region send them, or all others while none of that region is alive. Loads of the own region still come by notices. Replies without loads keep what another control VM sent, for 3 s at most.

--- a/Libraries/LibControl/fleet_control.hpp
+++ b/Libraries/LibControl/fleet_control.hpp
@@ -260,7 +260,6 @@
     std::vector<std::string> seeds_;         // VMs.
     std::map<std::string, sync_peer> peers_; // By VM.
     fleet::view_merger merger_;
-    core::time_point loads_updated_at_{}; // When merger_ last received loads.
     fleet::load_notice_builder announcer_;
     /// On the aggregator the loads of each entry VM of the region, on other
     /// VMs the aggregator's sums.
@@ -276,11 +275,11 @@
     std::set<std::string> evacuated_;
     std::map<std::string, core::time_point> recent_entry_vms_; // Last seen.
     core::time_point next_hello_{};
+    core::time_point next_view_rebuild_{};
     core::time_point last_tick_{};
     /// End of the process's last pause; no value once a control VM answered a
     /// later request, or none did in time.
     std::optional<core::time_point> resumed_at_;
-    core::time_point next_view_rebuild_{};
     bool view_changed_ = true; // Since the last publish().
 
     mutable std::mutex published_mutex_; // Guards the two members below.
--- a/Libraries/LibControl/fleet_control_loads.cpp
+++ b/Libraries/LibControl/fleet_control_loads.cpp
@@ -135,11 +135,11 @@
 
 void fleet_control::fill_loads(fleet::traffic_view& out, core::time_point now)
 {
-    for (const auto& it : merger_.loads())
+    for (const auto& it : merger_.loads(now))
     {
         out.loads[it.upstream] = {it.running, it.waiting_tokens};
     }
-    out.loads_received_at = loads_updated_at_;
+    out.loads_received_at = merger_.loads_received_at();
     if (replica_ || sums_sender_.empty() || sums_sender_ != load_aggregator() ||
         peer_loads_.live_peer_count(now) == 0)
     {
--- a/Libraries/LibControl/fleet_control_sync.cpp
+++ b/Libraries/LibControl/fleet_control_sync.cpp
@@ -4,6 +4,7 @@
 
 #include <LibCore/log_line.hpp>
 #include <LibCore/text.hpp>
+#include <LibFleet/load_sources.hpp>
 
 #include <glog/logging.h>
 
@@ -163,16 +164,15 @@
     core::time_point requested_at)
 {
     const auto now = clock_->now();
-    const bool has_changes = it.is_snapshot || !it.vms.empty() ||
     if (resumed_at_ && requested_at >= *resumed_at_)
     {
         resumed_at_.reset();
         view_changed_ = true;
     }
+    const bool has_changes = it.is_snapshot || !it.vms.empty() ||
                              !it.upstreams.empty() ||
                              !it.removed_upstreams.empty();
     merger_.apply(vm, it, now);
-    loads_updated_at_ = now;
     view_changed_ |= has_changes;
     if (replica_)
     {
@@ -230,7 +230,10 @@
     {
         out.evacuated = evacuated_;
     }
-    out.loads = loads_.sums_excluding(it.self.id, now);
+    if (fleet::sends_loads_to(*fleet_, options_.vm, it.self.region))
+    {
+        out.loads = loads_.sums_excluding(it.self.id, now);
+    }
     return out;
 }
 
--- a/Libraries/LibFleet/view_merger.cpp
+++ b/Libraries/LibFleet/view_merger.cpp
@@ -99,12 +99,24 @@
     {
         stored.upstreams.erase(id);
     }
-    loads_ = it.loads;
+    // Most control VMs send no loads. The one that does may have none to send.
+    if (!it.loads.empty() || control_vm == loads_source_)
+    {
+        loads_ = it.loads;
+        loads_source_ = control_vm;
+        loads_received_at_ = now;
+    }
     std::erase_if(sources_, [now](const auto& other) {
         return now - other.second.received_at > source_retention;
     });
 }
 
+std::vector<load_row> view_merger::loads(core::time_point now) const
+{
+    return now - loads_received_at_ <= loads_lifetime ? loads_
+                                                      : std::vector<load_row>();
+}
+
 std::size_t view_merger::fresh_source_count(core::time_point now) const
 {
     return static_cast<std::size_t>(
--- a/Libraries/LibFleet/view_merger.hpp
+++ b/Libraries/LibFleet/view_merger.hpp
@@ -34,10 +34,14 @@
     /// Replaces `view.vms` and `view.upstreams` by the merged tables.
     void build(membership::fleet_view& view, core::time_point now);
 
-    /// Load of the other VMs by upstream, from the latest reply.
-    const std::vector<load_row>& loads() const
+    /// Load of the other VMs by upstream, from the latest reply that included
+    /// loads; empty after loads_lifetime.
+    std::vector<load_row> loads(core::time_point now) const;
+
+    /// When loads() was received.
+    core::time_point loads_received_at() const
     {
-        return loads_;
+        return loads_received_at_;
     }
 
     /// Number of control VMs with a reply within the last source_lifetime.
@@ -46,6 +50,9 @@
     /// Several periods of the state exchange.
     static constexpr core::duration source_lifetime = std::chrono::seconds(3);
 
+    /// Older loads say nothing about the calls that run now.
+    static constexpr core::duration loads_lifetime = std::chrono::seconds(3);
+
 private:
     struct upstream_view
     {
@@ -69,6 +76,8 @@
 
     std::map<std::string, source> sources_;
     std::vector<load_row> loads_;
+    std::string loads_source_; // Control VM that sent loads_.
+    core::time_point loads_received_at_{};
     // Result of the last build().
     std::map<std::string, membership::vm_record> vms_;
     std::map<std::string, membership::upstream_record> upstreams_;
