LibRate: Give a pool's first credit once in a process

What could happen: a control VM that stopped voting and became a voter again in the same process added the first credit of each account's pool once more, so that the account exceeded its burst by one pool's cap. Cause: the credit was given whenever the number of grantors rose from 0. Now each account's state remembers that it had its first credit.

--- a/Libraries/LibRate/credit_pool.cpp
+++ b/Libraries/LibRate/credit_pool.cpp
@@ -60,30 +60,34 @@
         configure(it, now);
         if (added)
         {
-            it.bucket.add(
-                (first_start_ ? 1.0 : restart_credit_fraction) *
-                it.bucket.cap());
+            add_first_credit(it);
         }
     }
 }
 
+// A VM that becomes a voter again lent its first credit already.
+void credit_pool::add_first_credit(account_state& it) const
+{
+    if (grantors_ == 0 || it.has_first_credit)
+    {
+        return;
+    }
+    it.has_first_credit = true;
+    it.bucket.add(
+        (first_start_ ? 1.0 : restart_credit_fraction) * it.bucket.cap());
+}
+
 void credit_pool::set_grantors(std::uint32_t grantors, core::time_point now)
 {
     if (grantors == grantors_)
     {
         return;
     }
-    const bool first = grantors_ == 0;
     grantors_ = grantors;
     for (auto& [name, it] : accounts_)
     {
         configure(it, now);
-        if (first)
-        {
-            it.bucket.add(
-                (first_start_ ? 1.0 : restart_credit_fraction) *
-                it.bucket.cap());
-        }
+        add_first_credit(it);
     }
 }
 
--- a/Libraries/LibRate/credit_pool.hpp
+++ b/Libraries/LibRate/credit_pool.hpp
@@ -55,9 +55,11 @@
 
         account_rate declared;
         token_bucket bucket;
+        bool has_first_credit = false; // Given once in a process.
     };
 
     void configure(account_state& it, core::time_point now) const;
+    void add_first_credit(account_state& it) const;
 
     const bool first_start_;
     double extra_burst_ = 0;
--- a/Tests/LibRate/credit_pool.cpp
+++ b/Tests/LibRate/credit_pool.cpp
@@ -328,3 +328,25 @@
         }
     }
 }
+
+// Guards against an account that gets a pool's burst twice because its control
+// VM stopped voting and became a voter again.
+TEST_CASE("a pool gives its first credit once")
+{
+    for (const bool first_start : {true, false})
+    {
+        CAPTURE(first_start);
+        rate::credit_pool it(first_start);
+        it.install(one_account(1000, 10'000), 0, start);
+        it.set_grantors(5, start);
+        const auto first = it.credit("shop", start);
+        CHECK(first > 0);
+        (void)it.lend("shop", first, start);
+        const auto left = it.credit("shop", start);
+        it.set_grantors(0, start);
+        it.set_grantors(5, start);
+        CHECK(it.credit("shop", start) <= left);
+        it.set_grantors(3, start);
+        CHECK(it.credit("shop", start) <= left);
+    }
+}
