LibControl: Exchange state with other regions half as often

Each entry VM exchanged state with each of five control VMs 2.5 times a second, three to four of them in other regions. While a control VM of its own region is alive, an entry VM now exchanges with the others every 800 ms. Loads of other regions are up to 1.3 s old, so a call that was sent there is counted by the VM itself for that long (report_lag).

--- a/Libraries/LibControl/fleet_control.hpp
+++ b/Libraries/LibControl/fleet_control.hpp
@@ -174,6 +174,7 @@
     // Exchange with control VMs (fleet_control_sync.cpp).
     void sync_peers();
     void sync_with(const std::string& vm);
+    core::duration sync_interval_with(const std::string& vm) const;
     void on_sync_answer(
         const std::string& vm, const fleet::sync_reply& it,
         core::time_point requested_at);
--- a/Libraries/LibControl/fleet_control_sync.cpp
+++ b/Libraries/LibControl/fleet_control_sync.cpp
@@ -20,6 +20,10 @@
 /// Changes reach every VM within this interval and a round trip, well below the
 /// strictest limit on propagation, 3 s.
 constexpr std::chrono::milliseconds sync_interval{400};
+/// Interval with control VMs of other regions while one of the VM's own region
+/// replies: news of other regions comes through that one, and leases of rates
+/// last longer.
+constexpr std::chrono::milliseconds remote_sync_interval{800};
 /// Covers a round trip between regions and a scheduling delay.
 constexpr std::chrono::milliseconds sync_timeout{900};
 /// Delay before the next request to a control VM that did not answer.
@@ -124,6 +128,15 @@
     return out;
 }
 
+core::duration fleet_control::sync_interval_with(const std::string& vm) const
+{
+    const auto found = fleet_->vms.find(vm);
+    const bool is_remote = !replica_ && found != fleet_->vms.end() &&
+                           found->second.region != options_.region;
+    return is_remote && !load_aggregator().empty() ? remote_sync_interval
+                                                   : sync_interval;
+}
+
 void fleet_control::sync_with(const std::string& vm)
 {
     auto& peer = peers_[vm];
@@ -135,7 +148,7 @@
     peer.request_pending = true;
     peer.resync_requested = false;
     const auto requested_at = clock_->now();
-    peer.next_sync = requested_at + sync_interval;
+    peer.next_sync = requested_at + sync_interval_with(vm);
     transport_->request(
         peer_address_of(vm), message_type::fleet_sync,
         wire::encode(make_sync_request(vm)), sync_timeout,
--- a/Libraries/LibRouting/backlog_router.hpp
+++ b/Libraries/LibRouting/backlog_router.hpp
@@ -158,7 +158,7 @@
     double silent_penalty_seconds = 0.5;
     /// After this time, load reports of another region's VMs include a call
     /// that was sent there.
-    core::duration report_lag = std::chrono::milliseconds(1000);
+    core::duration report_lag = std::chrono::milliseconds(1300);
     /// Initial pause of an unreachable upstream; it doubles with each further
     /// failure.
     core::duration initial_pause = std::chrono::milliseconds(400);
