LibRelay: State when to come back, and name loans in the request line

Test: "a request that no region may serve is told when to come back" in Tests/LibRelay/lost_answers.cpp. The request line has `borrowed`, the tokens that control VMs lent for it: a loan that succeeded showed only in a counter.

--- a/Libraries/LibRelay/relay_handler.cpp
+++ b/Libraries/LibRelay/relay_handler.cpp
@@ -21,6 +21,8 @@
 
 /// Time in which a VM that just started receives its manifest.
 constexpr std::chrono::milliseconds manifest_retry_after{500};
+/// For requests that no region may serve: only a new manifest changes that.
+constexpr std::chrono::seconds residency_retry_after{10};
 /// Loans per request. More than one, as other requests may use up the VM's own
 /// credit while a loan is in transit.
 constexpr int max_loans = 2;
@@ -168,9 +170,11 @@
     }
     if (!intersect(route->homes, account_homes, out.allowed_regions))
     {
-        return make_refusal(
+        auto refused = make_refusal(
             refusal_reason::no_upstream,
             "the homes of route and account have no region in common");
+        refused.retry_after = residency_retry_after;
+        return refused;
     }
     if (account && account->tokens_per_second > 0)
     {
@@ -228,6 +232,7 @@
     if (borrowed > 0)
     {
         services.metrics->get_counter("hyssoploft_loans_total").add();
+        terms.borrowed_tokens = borrowed;
     }
     terms.reserved = std::move(result.taken);
     co_return std::nullopt;
--- a/Libraries/LibRelay/relay_run.cpp
+++ b/Libraries/LibRelay/relay_run.cpp
@@ -210,6 +210,7 @@
         terms_.deadline, terms_.arrived + (terms.deadline - terms.arrived));
     terms.arrived = terms_.arrived;
     terms.rate_tokens = terms_.rate_tokens;
+    terms.borrowed_tokens = terms_.borrowed_tokens;
     terms.reserved = std::move(terms_.reserved);
     terms_ = std::move(terms);
     return std::nullopt;
@@ -556,6 +557,7 @@
             first_event_at_ == core::time_point() ? -1 : ms(first_event_at_))
         .with("longest_pause_ms", longest_pause_ / std::chrono::milliseconds(1))
         .with("total_ms", ms(now))
+        .with("borrowed", std::lround(terms_.borrowed_tokens))
         .with("left_ms", time_left() / std::chrono::milliseconds(1));
     if (terms_.is_engine)
     {
--- a/Libraries/LibRelay/relay_services.hpp
+++ b/Libraries/LibRelay/relay_services.hpp
@@ -86,7 +86,8 @@
     bool relayed = false; ///< Forwarded by another VM; stays in this region.
     std::uint64_t manifest_version = 0; ///< That admitted it, unless relayed.
     call_head head;
-    double rate_tokens = 0; ///< Charged to the account's rate; may be 0.
+    double rate_tokens = 0;     ///< Charged to the account's rate; may be 0.
+    double borrowed_tokens = 0; ///< Lent by control VMs for this request.
     std::optional<rate::reservation> reserved;
 };
 
--- a/Tests/LibRelay/lost_answers.cpp
+++ b/Tests/LibRelay/lost_answers.cpp
@@ -91,6 +91,25 @@
     }
 }
 
+// Guards against callers that come back at once, in vain.
+TEST_CASE("a request that no region may serve is told when to come back")
+{
+    relay_fixture it;
+    it.set_rate(100);
+    it.source->change([](auto& view, auto&) {
+        auto next = view.routes->source();
+        next.accounts[0].homes = {"south"};
+        for (auto& route : next.routes)
+        {
+            route.homes = {"north"};
+        }
+        view.routes = std::make_shared<manifest::route_table>(next);
+    });
+    const auto got = it.call(relay_request("/order/1", "a", "x-key: k\r\n"));
+    CHECK_EQ(got.status, 503);
+    CHECK_EQ(got.retry_after, "10");
+}
+
 TEST_CASE("an upstream that can't be reached has not run the call")
 {
     relay_fixture it;
--- a/Tests/Support/test_caller.cpp
+++ b/Tests/Support/test_caller.cpp
@@ -50,6 +50,7 @@
     out.reason = http::header_value(message, "x-hyssoploft-reason");
     out.not_run = http::header_value(message, "x-hyssoploft-not-run");
     out.request_id = http::header_value(message, "x-request-id");
+    out.retry_after = http::header_value(message, "retry-after");
     out.body = message.body();
     out.whole = !ec && parser_->is_done();
     return out;
--- a/Tests/Support/test_caller.hpp
+++ b/Tests/Support/test_caller.hpp
@@ -20,6 +20,7 @@
     std::string reason;
     std::string not_run;
     std::string request_id;
+    std::string retry_after;
     std::string body; ///< Without the chunked encoding.
     bool whole = false;
 };
