--- a/Libraries/LibControl/fleet_control_sync.cpp
+++ b/Libraries/LibControl/fleet_control_sync.cpp
@@ -21,7 +21,7 @@
 /// strictest limit on propagation, 3 s.
 constexpr std::chrono::milliseconds sync_interval{400};
 /// Interval with control VMs of other regions while one of the VM's own region
-/// replies: news of other regions comes through that one, and leases of rates
+/// replies: changes in other regions arrive through it, and leases of rates
 /// last longer.
 constexpr std::chrono::milliseconds remote_sync_interval{800};
 /// Covers a round trip between regions and a scheduling delay.
--- a/Libraries/LibRelay/relay_run.cpp
+++ b/Libraries/LibRelay/relay_run.cpp
@@ -33,7 +33,7 @@
 /// A stream that can resume at another upstream counts as stuck after this
 /// multiple of the target for pauses between events.
 constexpr double pause_timeout_factor = 2.0;
-/// Longest wait for news after a pause of the process: a VM that is cut off
+/// Longest wait for a current view after a pause: a VM that is cut off
 /// goes on with what it knows.
 constexpr std::chrono::milliseconds max_view_wait{1000};
 constexpr std::chrono::milliseconds view_poll_interval{20};
--- a/Tests/LibRelay/relay_fixture.hpp
+++ b/Tests/LibRelay/relay_fixture.hpp
@@ -87,7 +87,7 @@
     std::function<void()> before_send;
 };
 
-/// Has credit for every request unless told otherwise. Thread safe.
+/// Has credit for every request unless has_credit is false. Thread safe.
 class generous_limiter final : public rate::rate_limiter
 {
 public:
