Tests: Reserve the ports of fixtures instead of looking them up

Cause: free_address() bound a socket to port 0, read the port and closed the socket. Until the server of the fixture listened, any other process could be given the same port; the bind of a second socket to such a port succeeds.

Change: reserved_address keeps a bound socket that never listens. The system gives its port to nobody else, connections are refused, and the server of the test listens beside it with the option to reuse addresses. The test in server_client.cpp binds a second socket to a reserved port, which fails. The clock of the relay's fixture moved to Support, so that the gateway's fixture can use it.

Ruled out: the gateway; the fixture failed before it had started.

--- a/Meta/check-style.sh
+++ b/Meta/check-style.sh
@@ -61,9 +61,9 @@
 
 # Process tests, load tools, benchmarks and stand-ins run in real time, and so
 # do the sessions over real sockets behind the fixtures of LibGateway and
-# LibRelay.
+# LibRelay, whose clock is in Support.
 mapfile -t tests < <(printf '%s\n' "${code[@]}" | grep '^Tests/' |
-    grep -vE '^Tests/(Processes|StandIns|Fuzz|Load|Scale)/|bench|^Tests/LibGateway/(gateway_fixture|forwarding)\.|^Tests/LibRelay/relay_fixture\.')
+    grep -vE '^Tests/(Processes|StandIns|Fuzz|Load|Scale)/|bench|^Tests/LibGateway/(gateway_fixture|forwarding)\.|^Tests/LibRelay/relay_fixture\.|^Tests/Support/skipping_clock\.')
 grep -nHE '(steady|system|high_resolution)_clock::now|sleep_(for|until)|\b(u|nano)?sleep\(|core::system_(clock|random)\b|std::random_device' \
     "${tests[@]}" | sed 's/^\([^:]*:[0-9]*\):\(.*\)/\1: real time or chance:\2/' \
     >>"$findings" || true
--- a/Tests/LibGateway/bench_gateway.cpp
+++ b/Tests/LibGateway/bench_gateway.cpp
@@ -11,7 +11,7 @@
 #include <LibHttp/sse_parser.hpp>
 #include <LibRetry/budgeted_retry_policy.hpp>
 #include <LibRouting/expected_time_router.hpp>
-#include <Support/free_port.hpp>
+#include <Support/reserved_address.hpp>
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/redirect_error.hpp>
@@ -205,8 +205,10 @@
     monitor state;
     telemetry::metrics metrics;
     core::seeded_random seeded(1);
-    const auto direct = free_address();
-    const auto through = free_address();
+    const reserved_address reserved_direct;
+    const reserved_address reserved_through;
+    const auto direct = reserved_direct.text();
+    const auto through = reserved_through.text();
     const auto control = make_control(state, direct);
     auto services = std::make_unique<gateway::gateway_services>();
     services->self = {"vm", "north", "n-a", {"fleet key"}};
--- a/Tests/LibGateway/gateway_fixture.cpp
+++ b/Tests/LibGateway/gateway_fixture.cpp
@@ -4,7 +4,6 @@
 
 #include <LibCore/text.hpp>
 #include <LibRetry/budgeted_retry_policy.hpp>
-#include <Support/free_port.hpp>
 
 #include <doctest.h>
 
@@ -42,7 +41,7 @@
 }
 
 gateway_fixture::gateway_fixture()
-    : address(free_address()), control(std::make_shared<fake_control>(state)),
+    : control(std::make_shared<fake_control>(state)),
       ledger(std::make_shared<fake_ledger>(state)),
       limiter(std::make_shared<fake_limiter>(state)), upstream(state),
       random_(std::make_shared<core::system_random>()),
@@ -142,8 +141,7 @@
         retry::retry_settings(), retry_random_);
     modules.rates = limiter;
     out->dispatch = std::make_shared<gateway::dispatcher>(
-        std::move(modules), control, std::make_shared<core::system_clock>(),
-        random_, metrics);
+        std::move(modules), control, clock, random_, metrics);
     return out;
 }
 
--- a/Tests/LibGateway/gateway_fixture.hpp
+++ b/Tests/LibGateway/gateway_fixture.hpp
@@ -6,7 +6,9 @@
 
 #include "fakes.hpp"
 
+#include <Support/reserved_address.hpp>
 #include <Support/scripted_upstream.hpp>
+#include <Support/skipping_clock.hpp>
 #include <Support/test_caller.hpp>
 
 #include <LibCore/keyed_hash.hpp>
@@ -56,7 +58,9 @@
     bool wait_idle();
 
     monitor state;
-    const std::string address;
+    const reserved_address reserved;
+    const std::string address = reserved.text();
+    std::shared_ptr<skipping_clock> clock = std::make_shared<skipping_clock>();
     std::shared_ptr<fake_control> control;
     std::shared_ptr<fake_ledger> ledger;
     std::shared_ptr<fake_limiter> limiter;
--- a/Tests/LibGateway/orders.cpp
+++ b/Tests/LibGateway/orders.cpp
@@ -3,7 +3,7 @@
 
 #include "gateway_fixture.hpp"
 
-#include <Support/free_port.hpp>
+#include <Support/reserved_address.hpp>
 
 #include <doctest.h>
 
@@ -117,9 +117,10 @@
         });
         it.upstream.set_replies({row.answer});
         const bool refused = row.answer.bytes == "refused";
+        const reserved_address closed;
         it.add_upstream(
             "booking", "booking", "north",
-            refused ? free_address() : it.upstream.address());
+            refused ? closed.text() : it.upstream.address());
         const auto got = it.call(booking_text());
         CHECK_EQ(got.status, row.status);
         CHECK_EQ(got.reason, row.reason);
--- a/Tests/LibGateway/retries.cpp
+++ b/Tests/LibGateway/retries.cpp
@@ -3,7 +3,7 @@
 
 #include "gateway_fixture.hpp"
 
-#include <Support/free_port.hpp>
+#include <Support/reserved_address.hpp>
 
 #include <doctest.h>
 
@@ -86,16 +86,17 @@
         CAPTURE(row.name);
         gateway_fixture it;
         scripted_upstream second(it.state);
+        const reserved_address closed;
         it.upstream.set_replies({row.first});
         second.set_replies({row.second});
         const bool chat_call = row.what == target::chat;
         const std::string role = chat_call ? "engine" : "booking";
         it.add_upstream(
             role, role, "north",
-            is_refused(row.first) ? free_address() : it.upstream.address());
+            is_refused(row.first) ? closed.text() : it.upstream.address());
         it.add_upstream(
             role + "-2", role, "north",
-            is_refused(row.second) ? free_address() : second.address());
+            is_refused(row.second) ? closed.text() : second.address());
         const auto got = it.call(text_of(row.what));
         CHECK_EQ(got.status, row.status);
         CHECK_EQ(got.not_run, row.not_run);
--- a/Tests/LibHttp/server_client.cpp
+++ b/Tests/LibHttp/server_client.cpp
@@ -3,7 +3,7 @@
 
 #include <LibHttp/http_client.hpp>
 #include <LibHttp/http_server.hpp>
-#include <Support/free_port.hpp>
+#include <Support/reserved_address.hpp>
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/read.hpp>
@@ -137,7 +137,8 @@
         co_return body;
     }
 
-    const std::string address = tests::free_address();
+    const tests::reserved_address reserved;
+    const std::string address = reserved.text();
     std::shared_ptr<http::traffic_thread> thread;
     std::shared_ptr<echo_handler> handler = std::make_shared<echo_handler>();
     std::shared_ptr<http::http_server> server;
@@ -367,11 +368,30 @@
 TEST_CASE("a refused connection is known not to have sent anything")
 {
     fixture it;
-    const auto status = it.call(tests::free_address(), "/").status();
+    const tests::reserved_address closed;
+    const auto status = it.call(closed.text(), "/").status();
     CHECK(absl::IsUnavailable(status));
     CHECK(it.last_stage == http::call_stage::connecting);
 }
 
+// Another process listened on a port that a fixture had looked up and closed,
+// so that the fixture could not listen there.
+TEST_CASE("nothing else can take an address that a test has reserved")
+{
+    const tests::reserved_address reserved;
+    const auto endpoint = *http::parse_endpoint(reserved.text());
+    asio::io_context context;
+    boost::system::error_code ec;
+    tcp::socket other(context, tcp::v4());
+    other.bind(endpoint, ec);
+    CHECK_EQ(ec, asio::error::address_in_use);
+    tcp::acceptor own(context, tcp::v4());
+    own.set_option(tcp::acceptor::reuse_address(true));
+    own.bind(endpoint);
+    own.listen(1, ec);
+    CHECK_FALSE(ec);
+}
+
 TEST_CASE("the handler hears that its caller went away")
 {
     fixture it;
--- a/Tests/LibRelay/lost_answers.cpp
+++ b/Tests/LibRelay/lost_answers.cpp
@@ -3,7 +3,7 @@
 
 #include "relay_fixture.hpp"
 
-#include <Support/free_port.hpp>
+#include <Support/reserved_address.hpp>
 
 #include <doctest.h>
 
@@ -114,8 +114,9 @@
 {
     relay_fixture it;
     scripted_upstream second(it.state);
-    it.source->change([](auto&, auto& fleet) {
-        fleet.upstreams["first"].address = free_address();
+    const reserved_address closed;
+    it.source->change([&](auto&, auto& fleet) {
+        fleet.upstreams["first"].address = closed.text();
     });
     it.add_upstream("second", second.address());
     it.set_busy("second");
--- a/Tests/LibRelay/relay_fixture.cpp
+++ b/Tests/LibRelay/relay_fixture.cpp
@@ -3,7 +3,6 @@
 #include "relay_fixture.hpp"
 
 #include <LibCore/text.hpp>
-#include <Support/free_port.hpp>
 
 #include <doctest.h>
 
@@ -158,8 +157,7 @@
 }
 
 relay_fixture::relay_fixture()
-    : address(free_address()), upstream(state),
-      services(std::make_shared<relay::relay_services>()),
+    : upstream(state), services(std::make_shared<relay::relay_services>()),
       thread_(std::make_shared<http::traffic_thread>())
 {
     declare();
--- a/Tests/LibRelay/relay_fixture.hpp
+++ b/Tests/LibRelay/relay_fixture.hpp
@@ -5,7 +5,9 @@
 // services and scripted upstreams.
 
 #include <Support/monitor.hpp>
+#include <Support/reserved_address.hpp>
 #include <Support/scripted_upstream.hpp>
+#include <Support/skipping_clock.hpp>
 #include <Support/test_caller.hpp>
 
 #include <LibHttp/http_server.hpp>
@@ -21,31 +23,6 @@
 
 namespace hyssoploft::tests {
 
-/// Real time plus an offset, so that a test can let a pause of the process
-/// pass. Thread safe.
-class skipping_clock final : public core::clock
-{
-public:
-    core::time_point now() const override
-    {
-        return system_.now() + core::duration(offset_.load());
-    }
-
-    std::uint64_t unix_nanoseconds() const override
-    {
-        return system_.unix_nanoseconds();
-    }
-
-    void skip(core::duration d)
-    {
-        offset_ += d.count();
-    }
-
-private:
-    core::system_clock system_;
-    std::atomic<core::duration::rep> offset_{0};
-};
-
 /// Publishes what the test sets. Thread safe.
 class fake_traffic_source final : public fleet::traffic_source
 {
@@ -155,7 +132,8 @@
     void wait_idle() const;
 
     monitor state;
-    const std::string address;
+    const reserved_address reserved;
+    const std::string address = reserved.text();
     std::shared_ptr<skipping_clock> clock = std::make_shared<skipping_clock>();
     std::shared_ptr<fake_traffic_source> source =
         std::make_shared<fake_traffic_source>();
