LibGateway: Don't send a call whose time ran out during a pause

A process that was paused between choosing an upstream and sending the call sent it after its deadline: an upstream worked for a caller that had left.

Cause: target_call::start() took at least 1 ms as the time left and did not look at the deadline again.

Change: start() checks the deadline next to the use. The call counts as cancelled for the router, the caller gets 504 with the statement that nothing ran, and the record of an order is given up, so that it may be sent again.

A second test shows that a stream whose upstream only sends comments or single bytes ends at its deadline; it passed before the change as well, target_call::read_some() prevents the fault.

Ruled out: keys and residency; both are read again at each attempt.

--- a/Libraries/LibGateway/target_call.cpp
+++ b/Libraries/LibGateway/target_call.cpp
@@ -209,6 +209,12 @@
             http::beast::string_view(via_header.data(), via_header.size()),
             services_.self.id);
     }
+    // The process may have been paused since the call was placed.
+    if (services_.dispatch->now() >= context_.deadline)
+    {
+        expired_ = true;
+        co_return false;
+    }
     const auto executor = co_await http::asio::this_coro::executor;
     register_running_call(executor);
     const auto status = co_await call_->start(
@@ -364,6 +370,11 @@
 
 std::optional<retry::call_failure> target_call::failure() const
 {
+    if (expired_)
+    {
+        return retry::call_failure{
+            retry::failure_kind::timeout, retry::run_state::not_run, false};
+    }
     const bool whole =
         seen_.end == retry::transport_end::whole && seen_.identified;
     if (whole && seen_.statement == retry::run_statement::not_run)
@@ -392,7 +403,7 @@
     {
         return routing::call_outcome::completed;
     }
-    if (cancelled_)
+    if (cancelled_ || expired_)
     {
         return routing::call_outcome::cancelled;
     }
--- a/Libraries/LibGateway/target_call.hpp
+++ b/Libraries/LibGateway/target_call.hpp
@@ -126,6 +126,7 @@
     bool chosen_ = false; // Set while the router counts this call as in flight.
     bool completed_ = false;
     bool cancelled_ = false;
+    bool expired_ = false; // Not sent: its deadline passed before.
     bool too_large_ = false;
 };
 
--- a/Tests/LibGateway/fakes.hpp
+++ b/Tests/LibGateway/fakes.hpp
@@ -11,6 +11,7 @@
 #include <LibRouting/round_robin_router.hpp>
 #include <Support/monitor.hpp>
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -182,6 +183,7 @@
     };
 
     std::optional<routing::no_route_reason> refuse; // Scripted.
+    std::function<void()> on_choice;                // Called after each choice.
     std::vector<std::string> chosen;
     std::vector<std::string> first_tokens;
     std::vector<end> finished;
@@ -217,6 +219,10 @@
             {
                 record_.chosen.push_back(out.decision.upstream);
             }
+            if (record_.on_choice)
+            {
+                record_.on_choice();
+            }
             return out;
         });
     }
--- a/Tests/LibGateway/streams.cpp
+++ b/Tests/LibGateway/streams.cpp
@@ -200,3 +200,38 @@
         CHECK_EQ(it.routing.finished.at(0).result.first_token.count(), 0);
     }
 }
+
+// An upstream that sends a byte now and then kept a caller waiting for good.
+TEST_CASE("a stalled stream ends at its deadline although bytes arrive")
+{
+    using namespace std::chrono_literals;
+    struct row
+    {
+        const char* name;
+        std::string start; // After the head.
+        std::string piece;
+        int status;
+    };
+    const row rows[] = {
+        {"before the first event", "", raw_chunk(": wait\n\n"), 504},
+        {"after a token", token_chunk("a "), raw_chunk(": wait\n\n"), 200},
+        {"inside an event", token_chunk("a ") + raw_chunk("data: {"),
+         raw_chunk(" "), 200},
+    };
+    for (const auto& row : rows)
+    {
+        CAPTURE(row.name);
+        gateway_fixture it;
+        it.control->configure([](auto& to) {
+            to.routes["quotes"].deadline = 500ms;
+        });
+        it.upstream.set_replies(
+            {{stream_head() + row.start, after_reply::hold,
+              std::vector<delayed_bytes>(250, {20ms, row.piece})}});
+        const auto begun = it.clock->now();
+        const auto got = it.call(chat_text(true));
+        CHECK(it.clock->now() - begun < 2s);
+        CHECK_EQ(got.status, row.status);
+        CHECK_EQ(got.body.find("[DONE]"), std::string::npos);
+    }
+}
