Tests: Let the soak repeat and trickle answers, and stop VMs under load

Change: after the random faults and the recovery the soak stops each entry VM in turn while callers keep their connections, silences half of the upstreams, repeats whole answers 20 ms late and trickles others a byte at a time. In these periods the checker asks for more: no request that was read is cut off, no stream is started again at another upstream because the first one is silent, and requests end by the time of their route (the users' bounds).

--- a/Tests/Soak/fault_proxy.cpp
+++ b/Tests/Soak/fault_proxy.cpp
@@ -10,6 +10,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
+#include <boost/beast/http/parser.hpp>
 
 #include <array>
 #include <utility>
@@ -23,6 +24,20 @@
 /// Longer than a gateway expects within a data centre, shorter than its
 /// time-outs.
 constexpr std::chrono::milliseconds delay_of_piece{120};
+/// Long enough for the connection to be in use again.
+constexpr std::chrono::milliseconds delay_of_repeat{20};
+constexpr std::chrono::milliseconds trickle_interval{250};
+
+// Streams have no length and are never whole.
+bool is_whole_answer(std::string_view piece)
+{
+    http::bhttp::response_parser<http::bhttp::string_body> parser;
+    http::error_code ec;
+    parser.eager(true);
+    const auto n = parser.put(asio::buffer(piece.data(), piece.size()), ec);
+    return !ec && parser.is_done() && parser.content_length() &&
+           n == piece.size();
+}
 
 } // namespace
 
@@ -138,8 +153,8 @@
     const auto swallowed =
         towards_target ? link_fault::drop_requests : link_fault::drop_answers;
     std::array<char, 16384> buf{};
-    asio::steady_timer timer(io_);
     bool silent = false;
+    bool trickles = false;
     for (;;)
     {
         http::error_code ec;
@@ -158,21 +173,75 @@
         }
         if (fault_ == link_fault::delay)
         {
-            timer.expires_after(delay_of_piece);
-            co_await timer.async_wait(
+            co_await wait(delay_of_piece);
+        }
+        const std::string piece(buf.data(), n);
+        trickles |= !towards_target && fault_ == link_fault::trickle_answers;
+        if (trickles)
+        {
+            ec = co_await trickle(*it, piece);
+        }
+        else
+        {
+            it->is_answering |= !towards_target;
+            co_await asio::async_write(
+                to, asio::buffer(piece),
                 asio::redirect_error(asio::use_awaitable, ec));
+            it->is_answering &= towards_target;
         }
-        co_await asio::async_write(
-            to, asio::buffer(buf.data(), n),
-            asio::redirect_error(asio::use_awaitable, ec));
         if (ec)
         {
             break;
         }
+        if (!towards_target && fault_ == link_fault::repeat_answers &&
+            is_whole_answer(piece))
+        {
+            asio::co_spawn(io_, repeat(it, piece), asio::detached);
+        }
     }
     http::error_code ignored;
     to.shutdown(http::tcp::socket::shutdown_send, ignored);
     from.close(ignored);
 }
 
+asio::awaitable<http::error_code>
+fault_proxy::trickle(link& it, std::string piece)
+{
+    const auto self = shared_from_this();
+    http::error_code ec;
+    for (std::size_t n = 0; n < piece.size() && !ec; ++n)
+    {
+        co_await wait(trickle_interval);
+        co_await asio::async_write(
+            it.near, asio::buffer(piece.data() + n, 1),
+            asio::redirect_error(asio::use_awaitable, ec));
+    }
+    co_return ec;
+}
+
+asio::awaitable<void>
+fault_proxy::repeat(std::shared_ptr<link> it, std::string answer)
+{
+    const auto self = shared_from_this();
+    co_await wait(delay_of_repeat);
+    // Never in the middle of another answer.
+    if (it->is_answering)
+    {
+        co_return;
+    }
+    http::error_code ec; // The connection may have ended by now.
+    it->is_answering = true;
+    co_await asio::async_write(
+        it->near, asio::buffer(answer),
+        asio::redirect_error(asio::use_awaitable, ec));
+    it->is_answering = false;
+}
+
+asio::awaitable<void> fault_proxy::wait(std::chrono::milliseconds d)
+{
+    http::error_code ec;
+    asio::steady_timer timer(io_, d);
+    co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ec));
+}
+
 } // namespace hyssoploft::soak
--- a/Tests/Soak/fault_proxy.hpp
+++ b/Tests/Soak/fault_proxy.hpp
@@ -8,6 +8,7 @@
 
 #include <absl/status/statusor.h>
 
+#include <chrono>
 #include <cstdint>
 #include <memory>
 #include <set>
@@ -18,18 +19,22 @@
 enum class link_fault : std::uint8_t
 {
     none,
-    delay,         ///< Each piece is passed on later.
-    reset,         ///< Open connections are reset, new ones too.
-    drop_requests, ///< Connections fall silent towards the target, for good.
-    drop_answers   ///< The same from the target.
+    delay,          ///< Each piece is passed on later.
+    reset,          ///< Open connections are reset, new ones too.
+    drop_requests,  ///< Connections fall silent towards the target, for good.
+    drop_answers,   ///< The same from the target.
+    repeat_answers, ///< A whole answer comes a second time, late.
+    trickle_answers ///< Connections send a byte now and then, for good.
 };
 
-inline constexpr core::enum_table<link_fault, 5> link_fault_names{
+inline constexpr core::enum_table<link_fault, 7> link_fault_names{
     {{link_fault::none, "none"},
      {link_fault::delay, "delay"},
      {link_fault::reset, "reset"},
      {link_fault::drop_requests, "drop_requests"},
-     {link_fault::drop_answers, "drop_answers"}}};
+     {link_fault::drop_answers, "drop_answers"},
+     {link_fault::repeat_answers, "repeat_answers"},
+     {link_fault::trickle_answers, "trickle_answers"}}};
 
 class fault_proxy : public std::enable_shared_from_this<fault_proxy>
 {
@@ -58,6 +63,7 @@
     {
         http::tcp::socket near;
         http::tcp::socket far;
+        bool is_answering = false; // A write to `near` is under way.
     };
 
     fault_proxy(http::asio::io_context& io, const http::tcp::endpoint& target);
@@ -66,6 +72,12 @@
     http::asio::awaitable<void> carry(std::shared_ptr<link> it);
     http::asio::awaitable<void>
     pump(std::shared_ptr<link> it, bool towards_target);
+    /// Writes `piece` to the caller a byte at a time.
+    http::asio::awaitable<http::error_code>
+    trickle(link& it, std::string piece);
+    http::asio::awaitable<void>
+    repeat(std::shared_ptr<link> it, std::string answer);
+    http::asio::awaitable<void> wait(std::chrono::milliseconds d);
     static void reset(link& it);
 
     http::asio::io_context& io_;
--- a/Tests/Soak/promise_checker.cpp
+++ b/Tests/Soak/promise_checker.cpp
@@ -9,6 +9,17 @@
 
 namespace hyssoploft::soak {
 
+namespace {
+
+/// The users' bounds for a request of which the last byte was sent, and for
+/// one that outlasts its route.
+constexpr std::chrono::milliseconds loss_slack{200};
+constexpr std::chrono::milliseconds timeout_slack{500};
+constexpr std::size_t tolerated_held_requests = 7;
+constexpr std::size_t tolerated_held_share = 4; // One in four.
+
+} // namespace
+
 std::string plain_body(std::string_view request_id, std::string_view stamp)
 {
     return core::concat("answer to ", request_id, " by ", stamp, "\n");
@@ -23,7 +34,7 @@
 void promise_checker::sent(
     const std::string& id, request_kind kind, const std::string& account)
 {
-    requests_[id] = {kind, account};
+    requests_[id] = {kind, account, 0, false, period_};
 }
 
 void promise_checker::ran(
@@ -41,6 +52,15 @@
     {
         broken(core::concat("request ", id, " ran ", it.runs, " times"));
     }
+    const bool is_sound = disturbance_ == disturbance::planned_stops ||
+                          disturbance_ == disturbance::silent_upstreams;
+    if (it.kind == request_kind::stream && it.runs > 1 && is_sound &&
+        is_calm(it))
+    {
+        broken(core::concat(
+            "stream ", id, " was started again under ",
+            core::name_of(disturbance_names, disturbance_)));
+    }
     if (it.kind == request_kind::at_most_once && it.refused)
     {
         broken(core::concat("request ", id, " ran after it was refused"));
@@ -60,11 +80,19 @@
 void promise_checker::answered(const std::string& id, const caller_answer& it)
 {
     const auto found = requests_.find(id);
-    if (found == requests_.end() || it.status == 0)
+    if (found == requests_.end())
     {
         return;
     }
     auto& state = found->second;
+    if (is_calm(state))
+    {
+        check_end(id, state, it);
+    }
+    if (it.status == 0)
+    {
+        return;
+    }
     const bool never_ran = it.status == 408 || it.status == 421 ||
                            it.status == 429 || it.status == 503;
     if (never_ran)
@@ -84,6 +112,45 @@
     }
 }
 
+bool promise_checker::is_calm(const request_state& state) const
+{
+    return disturbance_ != disturbance::random_faults &&
+           state.period == period_;
+}
+
+void promise_checker::check_end(
+    const std::string& id, const request_state& state, const caller_answer& it)
+{
+    outlasted_ += it.lasted > longest_timeout ? 1 : 0;
+    held_ += it.lasted >= longest_timeout + timeout_slack ? 1 : 0;
+    const bool was_read = state.runs > 0 || it.lasted > loss_slack;
+    if (disturbance_ != disturbance::faulty_answers && !it.complete && was_read)
+    {
+        broken(core::concat(
+            "request ", id, " was cut off under ",
+            core::name_of(disturbance_names, disturbance_), " after ",
+            it.lasted.count(), " ms and ", state.runs, " runs"));
+    }
+}
+
+void promise_checker::set_disturbance(disturbance it)
+{
+    disturbance_ = it;
+    ++period_;
+}
+
+void promise_checker::finish()
+{
+    if (held_ > tolerated_held_requests &&
+        held_ * tolerated_held_share > outlasted_)
+    {
+        broken(core::concat(
+            held_, " of ", outlasted_,
+            " requests that outlasted their route had no end by ",
+            timeout_slack.count(), " ms later"));
+    }
+}
+
 void promise_checker::check_success(
     const std::string& id, const request_state& state, const caller_answer& it)
 {
--- a/Tests/Soak/promise_checker.hpp
+++ b/Tests/Soak/promise_checker.hpp
@@ -4,6 +4,9 @@
 // Checks the promises to callers and operators from what callers, upstreams
 // and operators of the soak have seen. Knows nothing of the fleet's inside.
 
+#include <LibCore/enum_table.hpp>
+
+#include <chrono>
 #include <cstdint>
 #include <map>
 #include <string>
@@ -26,8 +29,28 @@
     std::string stamp;   ///< Signature of the upstream; empty: none.
     std::string body;
     bool complete = false; ///< The body ended as HTTP says.
+    /// From the first byte of the request to the end of its answer.
+    std::chrono::milliseconds lasted{};
+};
+
+/// What disturbs the fleet. The calmer it is, the more it has promised.
+enum class disturbance : std::uint8_t
+{
+    random_faults,
+    planned_stops,    ///< One VM at a time gets SIGTERM.
+    silent_upstreams, ///< Upstreams stop to announce themselves, and serve.
+    faulty_answers    ///< Upstreams repeat their answers, or trickle.
 };
 
+inline constexpr core::enum_table<disturbance, 4> disturbance_names{
+    {{disturbance::random_faults, "random_faults"},
+     {disturbance::planned_stops, "planned_stops"},
+     {disturbance::silent_upstreams, "silent_upstreams"},
+     {disturbance::faulty_answers, "faulty_answers"}}};
+
+/// The longest timeout of a route in the soak's documents.
+inline constexpr std::chrono::milliseconds longest_timeout{3490};
+
 /// Bytes that an upstream answers with.
 std::string plain_body(std::string_view request_id, std::string_view stamp);
 std::string event_text(std::string_view request_id, int number);
@@ -58,6 +81,14 @@
     /// A read that was sent when `acknowledged_before` was the newest one.
     void read_back(std::uint64_t version, std::uint64_t acknowledged_before);
 
+    /// Requests are held to what is promised under `it` if they begin and end
+    /// under it.
+    void set_disturbance(disturbance it);
+
+    /// Checks the promises that hold for many requests together. Call once,
+    /// after the last answer.
+    void finish();
+
     /// Any other promise that was broken, in words.
     void broken(std::string what);
 
@@ -84,8 +115,14 @@
         std::string account;
         int runs = 0;
         bool refused = false; // With a status that says it never runs.
+        unsigned period = 0;  // In which it was sent.
     };
 
+    bool is_calm(const request_state& state) const;
+    void check_end(
+        const std::string& id, const request_state& state,
+        const caller_answer& it);
+
     void check_success(
         const std::string& id, const request_state& state,
         const caller_answer& it);
@@ -95,6 +132,10 @@
     std::vector<std::string> violations_;
     std::uint64_t acknowledged_ = 0;
     std::size_t successes_ = 0;
+    disturbance disturbance_ = disturbance::random_faults;
+    unsigned period_ = 0;       // Counts the changes of `disturbance_`.
+    std::size_t outlasted_ = 0; // Calm requests that outlasted their route.
+    std::size_t held_ = 0;      // Of these, without an answer even later.
 };
 
 } // namespace hyssoploft::soak
--- a/Tests/Soak/promise_checker_tests.cpp
+++ b/Tests/Soak/promise_checker_tests.cpp
@@ -98,3 +98,68 @@
     it.read_back(6, it.newest_acknowledged());
     CHECK(it.violations().size() == 1);
 }
+
+TEST_CASE("an accepted request that a planned stop cuts off is reported")
+{
+    using std::chrono::milliseconds;
+    promise_checker it;
+    it.set_disturbance(soak::disturbance::planned_stops);
+    it.sent("a", request_kind::idempotent, "shop");
+    it.ran("a", "shop", false);
+    it.answered("a", {0, "", "", false, milliseconds(20)});
+    CHECK(it.violations().size() == 1);
+    it.sent("b", request_kind::idempotent, "shop");
+    it.answered("b", {0, "", "", false, milliseconds(300)});
+    CHECK(it.violations().size() == 2);
+    // It crossed the close of its connection.
+    it.sent("c", request_kind::idempotent, "shop");
+    it.answered("c", {0, "", "", false, milliseconds(20)});
+    CHECK(it.violations().size() == 2);
+}
+
+TEST_CASE("requests that began under other faults are not held to more")
+{
+    promise_checker it;
+    it.sent("a", request_kind::stream, "shop");
+    it.set_disturbance(soak::disturbance::planned_stops);
+    it.ran("a", "shop", false);
+    it.ran("a", "shop", false);
+    it.answered("a", {0, "", "", false, soak::longest_timeout});
+    CHECK(it.violations().empty());
+}
+
+TEST_CASE("a stream that is started again because its upstream is silent is "
+          "reported")
+{
+    promise_checker it;
+    it.set_disturbance(soak::disturbance::silent_upstreams);
+    it.sent("a", request_kind::stream, "shop");
+    it.ran("a", "shop", false);
+    it.ran("a", "shop", false);
+    CHECK(it.violations().size() == 1);
+    it.set_disturbance(soak::disturbance::faulty_answers);
+    it.sent("b", request_kind::stream, "shop");
+    it.ran("b", "shop", false);
+    it.ran("b", "shop", false);
+    CHECK(it.violations().size() == 1);
+}
+
+TEST_CASE("requests that are held past the time of their route are reported")
+{
+    using std::chrono::milliseconds;
+    for (const std::size_t held : {7U, 8U})
+    {
+        promise_checker it;
+        it.set_disturbance(soak::disturbance::faulty_answers);
+        for (std::size_t n = 0; n < held; ++n)
+        {
+            const auto id = "r" + std::to_string(n);
+            it.sent(id, request_kind::idempotent, "shop");
+            it.answered(
+                id,
+                {0, "", "", false, soak::longest_timeout + milliseconds(500)});
+        }
+        it.finish();
+        CHECK(it.violations().size() == (held > 7 ? 1 : 0));
+    }
+}
--- a/Tests/Soak/soak.cpp
+++ b/Tests/Soak/soak.cpp
@@ -51,6 +51,10 @@
 /// A lost disk is repaired before the next one may be lost: a new replica
 /// takes the place of the old one after 2.5 s of silence.
 constexpr std::chrono::seconds disk_repair_time{10};
+constexpr milliseconds stop_interval{4000};
+/// Longer than an upstream may be silent before it is given no more calls.
+constexpr milliseconds silence_time{4000};
+constexpr milliseconds spoiling_time{4000};
 
 class soak_run
 {
@@ -162,16 +166,19 @@
             asio::redirect_error(asio::use_awaitable, ec));
     }
 
-    // Runs `end` after a random time; faults overlap.
-    void later(milliseconds most, std::function<void()> end)
+    // Runs `end` after a random time of at least `least`; faults overlap.
+    void later(
+        milliseconds most, std::function<void()> end,
+        milliseconds least = milliseconds(100))
     {
         ++open_faults_;
         asio::co_spawn(
             thread_->context(),
-            [this, most, end = std::move(end)]() -> asio::awaitable<void> {
-                co_await wait(milliseconds(
-                    100 + random_.below(static_cast<std::uint64_t>(
-                              most / milliseconds(1)))));
+            [this, most, least,
+             end = std::move(end)]() -> asio::awaitable<void> {
+                co_await wait(
+                    least + milliseconds(random_.below(
+                                static_cast<std::uint64_t>(most.count()))));
                 end();
                 --open_faults_;
             },
@@ -210,6 +217,22 @@
         });
     }
 
+    void pause(std::size_t vm)
+    {
+        report("pause", vm);
+        fleet_->signal(vm, SIGSTOP);
+        const auto resume = [this, vm] {
+            fleet_->signal(vm, SIGCONT);
+        };
+        if (fleet_->is_control(vm))
+        {
+            later(milliseconds(3000), resume);
+            return;
+        }
+        // Permissions of the requests that it had accepted run out meanwhile.
+        later(milliseconds(12000), resume, milliseconds(3000));
+    }
+
     void lose_disk()
     {
         const auto now = clock_.now();
@@ -241,11 +264,7 @@
             fleet_->signal(vm, SIGTERM);
             return;
         case 2:
-            report("pause", vm);
-            fleet_->signal(vm, SIGSTOP);
-            later(milliseconds(3000), [this, vm] {
-                fleet_->signal(vm, SIGCONT);
-            });
+            pause(vm);
             return;
         case 3:
             report("change_settings", vm);
@@ -337,13 +356,67 @@
                 "after the recovery ", served, " of ", recovery_probes,
                 " requests were served"));
         }
+        co_await stop_entry_vms();
+        co_await silence_upstreams();
+        co_await spoil_answers();
         co_await load_->read_at_the_end();
         load_->stop();
         co_await wait(milliseconds(4500)); // The callers' last answers.
+        checker_.finish();
         finished_ = true;
         co_await wait(milliseconds(300));
     }
 
+    // Each entry VM in turn, while callers keep their connections to it.
+    asio::awaitable<void> stop_entry_vms()
+    {
+        checker_.set_disturbance(disturbance::planned_stops);
+        for (std::size_t vm = 0; vm < fleet_->size(); ++vm)
+        {
+            if (!fleet_->is_control(vm))
+            {
+                report("planned_stop", vm);
+                fleet_->signal(vm, SIGTERM);
+                co_await wait(stop_interval);
+            }
+        }
+    }
+
+    asio::awaitable<void> silence_upstreams()
+    {
+        checker_.set_disturbance(disturbance::silent_upstreams);
+        // Half of each role and data centre; the others remain announced.
+        for (std::size_t n = 0; n < upstreams_.size() / 2; ++n)
+        {
+            report("silent_upstream", n);
+            upstreams_[n]->set_silent(true);
+        }
+        co_await wait(silence_time);
+        for (const auto& it : upstreams_)
+        {
+            it->set_silent(false);
+        }
+        co_await wait(milliseconds(1000)); // All are announced again.
+    }
+
+    asio::awaitable<void> spoil_answers()
+    {
+        checker_.set_disturbance(disturbance::faulty_answers);
+        for (const auto fault :
+             {link_fault::repeat_answers, link_fault::trickle_answers})
+        {
+            const auto n =
+                random_.below(static_cast<std::uint64_t>(upstreams_.size()));
+            report(core::name_of(link_fault_names, fault).data(), n);
+            upstreams_[n]->proxy().set(fault);
+            co_await wait(spoiling_time);
+            upstreams_[n]->proxy().set(link_fault::none);
+        }
+        // Calls that trickle end at the time of their route.
+        co_await wait(longest_timeout + milliseconds(1000));
+        checker_.set_disturbance(disturbance::random_faults);
+    }
+
     core::suspend_aware_clock clock_;
     core::seeded_random random_; // Used on the one thread of the run.
     promise_checker checker_;
--- a/Tests/Soak/soak_load.cpp
+++ b/Tests/Soak/soak_load.cpp
@@ -60,7 +60,7 @@
 
 std::string route(
     const char* name, const char* kind, const char* service,
-    std::uint64_t timeout_ms)
+    std::int64_t timeout_ms)
 {
     return core::concat(
         R"({"name":")", name, R"(","host":"soak.example","path-prefix":"/)",
@@ -95,7 +95,7 @@
             R"("rate-per-s":400000,"burst":400000,"home-regions":[]})");
     }
     // Successive versions differ in a time-out, as operators change them.
-    const auto timeout = 3000 + 10 * (version % 50);
+    const auto timeout = longest_timeout.count() - 10 * (version % 50);
     return core::concat(
         R"({"version":)", version, R"(,"routes":[)",
         route("order", "unsafe", "booking", timeout), ",",
@@ -224,8 +224,11 @@
     message.set(names::deadline_ms, "3500");
     message.body() = "body of " + id;
     checker_.sent(id, kind, account.name);
-    const auto answer = co_await call(
+    const auto began = clock_.now();
+    auto answer = co_await call(
         from, any(targets_.entries), std::move(message), call_limit);
+    answer.lasted = std::chrono::duration_cast<std::chrono::milliseconds>(
+        clock_.now() - began);
     checker_.answered(id, answer);
     co_return answer.status == 200 && answer.complete;
 }
--- a/Tests/Soak/soak_load.hpp
+++ b/Tests/Soak/soak_load.hpp
@@ -3,6 +3,7 @@
 
 // The callers and the operator of a soak.
 
+#include <LibCore/clock.hpp>
 #include <LibCore/random_source.hpp>
 #include <LibHttp/types.hpp>
 #include <Soak/promise_checker.hpp>
@@ -59,6 +60,7 @@
     const load_targets targets_;
     promise_checker& checker_;
     core::random_source& random_;
+    core::suspend_aware_clock clock_;
     std::uint64_t next_id_ = 1;
     std::uint64_t version_ = 0; // Of the newest document that was sent.
     bool stopped_ = false;
--- a/Tests/Soak/upstream_stand_in.cpp
+++ b/Tests/Soak/upstream_stand_in.cpp
@@ -91,23 +91,31 @@
     const auto self = shared_from_this();
     for (;;)
     {
-        const auto& to = options_.control[random_.below(
-            static_cast<std::uint64_t>(options_.control.size()))];
-        http::request message(
-            http::bhttp::verb::post,
-            core::concat(names::heartbeat_path, options_.id), 11);
-        message.set(http::bhttp::field::host, "control");
-        message.body() = core::concat(
-            R"({"service":")", options_.role, R"(","address":")",
-            proxy_->address(), R"(","zone":")", options_.data_center,
-            R"(","version":"v1","slots":16,"state":"ready","cold-left-ms":0,)",
-            R"("born":1,"seq":)", ++sequence_, "}");
-        kept_connection connection(thread_->context());
-        (void)co_await call(connection, to, std::move(message), announce_limit);
+        if (!silent_)
+        {
+            co_await announce_once();
+        }
         co_await wait(thread_->context().get_executor(), announce_interval);
     }
 }
 
+asio::awaitable<void> upstream_stand_in::announce_once()
+{
+    const auto& to = options_.control[random_.below(
+        static_cast<std::uint64_t>(options_.control.size()))];
+    http::request message(
+        http::bhttp::verb::post,
+        core::concat(names::heartbeat_path, options_.id), 11);
+    message.set(http::bhttp::field::host, "control");
+    message.body() = core::concat(
+        R"({"service":")", options_.role, R"(","address":")", proxy_->address(),
+        R"(","zone":")", options_.data_center,
+        R"(","version":"v1","slots":16,"state":"ready","cold-left-ms":0,)",
+        R"("born":1,"seq":)", ++sequence_, "}");
+    kept_connection connection(thread_->context());
+    (void)co_await call(connection, to, std::move(message), announce_limit);
+}
+
 asio::awaitable<void> upstream_stand_in::handle(http::exchange& it)
 {
     const auto& message = it.message();
--- a/Tests/Soak/upstream_stand_in.hpp
+++ b/Tests/Soak/upstream_stand_in.hpp
@@ -37,6 +37,12 @@
 
     void start();
 
+    /// A silent upstream serves, but does not announce itself.
+    void set_silent(bool silent)
+    {
+        silent_ = silent;
+    }
+
     fault_proxy& proxy()
     {
         return *proxy_;
@@ -51,6 +57,7 @@
         core::random_source& random);
 
     http::asio::awaitable<void> announce();
+    http::asio::awaitable<void> announce_once();
     http::asio::awaitable<void>
     answer_stream(http::exchange& it, const std::string& request_id);
 
@@ -61,6 +68,7 @@
     std::shared_ptr<http::http_server> server_;
     std::shared_ptr<fault_proxy> proxy_;
     std::uint64_t sequence_ = 0; // Of the announcements.
+    bool silent_ = false;
 };
 
 } // namespace hyssoploft::soak
