LibFleet, LibControl: Replace a silent load aggregator, and drop its sums

Cause: sums of a silent aggregator were used for 2.5 s and published as new; after its pause it sent sums of the few reports that had come, and all VMs of the region chose the same engines (0 to 3 running calls seen, 17 to 26 in truth).

Change: entry VMs report to every control VM of their region. load_aggregation lets the next one send sums once the first was silent for 0.7 s, and makes one that was paused or has just started collect for 1.5 s. Sums are used for 0.5 s after the newest notice; an idle aggregator sends an empty one each 0.15 s. The age in the request line is the real one. load_table keeps its totals. Sums no longer go to control VMs, which took them for the sender's own loads.

Not fully traced: why the sums stayed low for over 2 s.

--- a/Libraries/LibControl/fleet_control.cpp
+++ b/Libraries/LibControl/fleet_control.cpp
@@ -74,6 +74,7 @@
       random_(std::move(random)),
       share_holder_(std::make_shared<rate::share_holder>()),
       seeds_(options.seeds), announcer_(options.incarnation),
+      sums_announcer_(options.incarnation),
       fleet_(std::make_shared<membership::fleet_view>())
 {
     fleet_->self = options_.vm;
@@ -121,6 +122,8 @@
             return created.status();
         }
         replica_ = *std::move(created);
+        aggregation_ =
+            std::make_unique<fleet::load_aggregation>(options_.vm, started_);
         allocator_ = std::make_unique<rate::share_allocator>(
             started_, options_.first_start);
         credit_pool_ =
@@ -206,6 +209,7 @@
         vms_.apply_report(own_vm_row(), now);
         vms_.tick(now);
         upstreams_.tick(now);
+        aggregation_->tick(now);
         send_load_sums();
         if (now >= next_hello_)
         {
@@ -215,7 +219,7 @@
     }
     proposals_->tick();
     sync_peers();
-    if (now >= next_view_rebuild_ || view_changed_)
+    if (now >= next_view_rebuild_ || view_changed_ || sums_are_outdated(now))
     {
         next_view_rebuild_ = now + view_rebuild_interval;
         rebuild_view();
@@ -237,6 +241,7 @@
         const auto hello = wire::decode<replica_hello>(it.payload);
         if (replica_ && hello.ok() && hello->vm == it.sender)
         {
+            aggregation_->record_contact(it.sender, clock_->now());
             replica_->on_hello(*hello);
         }
         return;
--- a/Libraries/LibControl/fleet_control.hpp
+++ b/Libraries/LibControl/fleet_control.hpp
@@ -12,6 +12,7 @@
 #include <LibControl/replica_driver.hpp>
 #include <LibCore/clock.hpp>
 #include <LibCore/random_source.hpp>
+#include <LibFleet/load_aggregation.hpp>
 #include <LibFleet/load_table.hpp>
 #include <LibFleet/peer_loads.hpp>
 #include <LibFleet/traffic_view.hpp>
@@ -190,16 +191,15 @@
     void send_hello();
 
     // Load reports within the region (fleet_control_loads.cpp).
-    /// The control VM that aggregates the loads of this region; empty if none
-    /// is alive.
-    std::string load_aggregator() const;
     void send_loads(
-        const std::vector<fleet::load_row>& loads,
+        const std::vector<fleet::load_notice>& notices,
         const std::vector<std::string>& to);
     void send_own_loads();
     void send_load_sums();
     void on_load_notice(const wire::incoming_message& it);
     void fill_loads(fleet::traffic_view& out, core::time_point now);
+    /// The sender of the published sums fell silent.
+    bool sums_are_outdated(core::time_point now) const;
 
     // Account credit (fleet_control_credit.cpp).
     struct pending_loan;
@@ -261,12 +261,16 @@
     std::vector<std::string> seeds_;         // VMs.
     std::map<std::string, sync_peer> peers_; // By VM.
     fleet::view_merger merger_;
-    fleet::load_notice_builder announcer_;
-    /// On the aggregator the loads of each entry VM of the region, on other
-    /// VMs the aggregator's sums.
+    fleet::load_notice_builder announcer_;      // Of this VM's loads.
+    fleet::load_notice_builder sums_announcer_; // Of the region's sums.
+    /// On a control VM the loads of each entry VM of the region, on other VMs
+    /// the sums of each aggregator.
     fleet::peer_load_table peer_loads_;
-    std::string sums_sender_; // Sender of the sums in peer_loads_.
+    std::string sums_sender_; // Of the published sums; empty: none.
+    /// Null without a replica.
+    std::unique_ptr<fleet::load_aggregation> aggregation_;
     core::time_point next_load_notice_{};
+    core::time_point next_load_sums_{};
     core::time_point next_load_publish_{};
     std::shared_ptr<membership::fleet_view> fleet_; // Never null.
     std::uint64_t manifest_version_ = 0;
--- a/Libraries/LibControl/fleet_control_loads.cpp
+++ b/Libraries/LibControl/fleet_control_loads.cpp
@@ -1,5 +1,5 @@
-// Load reports within a region: entry VMs send their loads to one control VM,
-// the aggregator, which sends them the sums.
+// Load reports within a region: entry VMs send their loads to its control VMs,
+// the aggregators, one of which sends them the sums.
 
 #include <LibControl/fleet_control.hpp>
 
@@ -21,25 +21,11 @@
 
 } // namespace
 
-std::string fleet_control::load_aggregator() const
-{
-    // VMs are ordered by identifier, so all choose the same aggregator.
-    for (const auto& [id, it] : fleet_->vms)
-    {
-        if (it.control && it.region == options_.region &&
-            it.state == membership::vm_state::alive)
-        {
-            return id;
-        }
-    }
-    return "";
-}
-
 void fleet_control::send_loads(
-    const std::vector<fleet::load_row>& loads,
+    const std::vector<fleet::load_notice>& notices,
     const std::vector<std::string>& to)
 {
-    for (const auto& it : announcer_.next_notices(loads, clock_->now()))
+    for (const auto& it : notices)
     {
         const auto payload = wire::encode(it);
         for (const auto& address : to)
@@ -59,30 +45,45 @@
 void fleet_control::send_own_loads()
 {
     const auto now = clock_->now();
-    const auto aggregator = load_aggregator();
-    if (now < next_load_notice_ || aggregator.empty() ||
-        aggregator == options_.vm)
+    const auto aggregators = fleet::load_aggregators(*fleet_, options_.region);
+    if (now < next_load_notice_ || aggregators.empty())
     {
         return;
     }
     next_load_notice_ = now + load_notice_interval;
+    std::vector<std::string> to;
+    for (const auto& vm : aggregators)
+    {
+        if (vm != options_.vm)
+        {
+            to.push_back(peer_address_of(vm));
+        }
+    }
     std::vector<fleet::load_row> loads;
     {
         const std::lock_guard lock(published_mutex_);
         loads = own_loads_;
     }
-    send_loads(loads, {peer_address_of(aggregator)});
+    const auto notices = announcer_.next_notices(loads, now);
+    for (const auto& it : notices)
+    {
+        if (replica_)
+        {
+            peer_loads_.apply(options_.vm, it, now);
+        }
+    }
+    send_loads(notices, to);
 }
 
 void fleet_control::send_load_sums()
 {
     const auto now = clock_->now();
-    if (now < next_load_notice_ || load_aggregator() != options_.vm ||
-        peer_loads_.live_peer_count(now) == 0)
+    if (now < next_load_sums_ || peer_loads_.live_peer_count(now) == 0 ||
+        !aggregation_->sends_sums(*fleet_, options_.region, now))
     {
         return;
     }
-    next_load_notice_ = now + load_notice_interval;
+    next_load_sums_ = now + load_notice_interval;
     std::vector<fleet::load_row> sums;
     for (auto& [id, it] : peer_loads_.sums(now))
     {
@@ -91,13 +92,14 @@
     std::vector<std::string> recipients;
     for (const auto& [id, it] : fleet_->vms)
     {
-        if (it.entry && id != options_.vm && it.region == options_.region &&
+        if (it.entry && !it.control && it.region == options_.region &&
             it.state != membership::vm_state::dead)
         {
             recipients.push_back(it.peer_address);
         }
     }
-    send_loads(sums, recipients);
+    send_loads(
+        sums_announcer_.next_notices_or_keepalive(sums, now), recipients);
 }
 
 void fleet_control::on_load_notice(const wire::incoming_message& it)
@@ -115,16 +117,10 @@
         peer_loads_.apply(it.sender, *notice, now);
         return;
     }
-    if (it.sender != load_aggregator())
+    if (!sender->second.control)
     {
         return;
     }
-    if (it.sender != sums_sender_)
-    {
-        // Sums of two aggregators count the same calls; drops the old ones.
-        sums_sender_ = it.sender;
-        peer_loads_ = {};
-    }
     peer_loads_.apply(it.sender, *notice, now);
     if (now >= next_load_publish_)
     {
@@ -140,8 +136,11 @@
         out.loads[it.upstream] = {it.running, it.waiting_tokens};
     }
     out.loads_received_at = merger_.loads_received_at();
-    if (replica_ || sums_sender_.empty() || sums_sender_ != load_aggregator() ||
-        peer_loads_.live_peer_count(now) == 0)
+    sums_sender_ =
+        replica_ ? std::string()
+                 : peer_loads_.first_current(
+                       fleet::load_aggregators(*fleet_, options_.region), now);
+    if (sums_sender_.empty())
     {
         return;
     }
@@ -150,13 +149,19 @@
         return found != fleet_->upstreams.end() &&
                found->second.region == options_.region;
     });
-    auto sums = peer_loads_.sums(now);
+    auto sums = peer_loads_.rows_of(sums_sender_, now);
     fleet::subtract_loads(sums, announcer_.sent_rows());
     for (const auto& [id, it] : sums)
     {
         out.loads[id] = {it.running, it.waiting_tokens};
     }
-    out.loads_received_at = now;
+    out.loads_received_at = peer_loads_.last_received_at(sums_sender_);
+}
+
+bool fleet_control::sums_are_outdated(core::time_point now) const
+{
+    return !sums_sender_.empty() &&
+           peer_loads_.first_current({sums_sender_}, now).empty();
 }
 
 } // namespace hyssoploft::control
--- a/Libraries/LibControl/fleet_control_sync.cpp
+++ b/Libraries/LibControl/fleet_control_sync.cpp
@@ -133,8 +133,10 @@
     const auto found = fleet_->vms.find(vm);
     const bool is_remote = !replica_ && found != fleet_->vms.end() &&
                            found->second.region != options_.region;
-    return is_remote && !load_aggregator().empty() ? remote_sync_interval
-                                                   : sync_interval;
+    const bool has_near_control_vm =
+        !fleet::load_aggregators(*fleet_, options_.region).empty();
+    return is_remote && has_near_control_vm ? remote_sync_interval
+                                            : sync_interval;
 }
 
 void fleet_control::sync_with(const std::string& vm)
@@ -189,6 +191,7 @@
     view_changed_ |= has_changes;
     if (replica_)
     {
+        aggregation_->record_contact(vm, now);
         for (const auto& row : it.upstreams)
         {
             (void)upstreams_.merge(row, now);
@@ -243,7 +246,8 @@
     {
         out.evacuated = evacuated_;
     }
-    if (fleet::sends_loads_to(*fleet_, options_.vm, it.self.region))
+    if (aggregation_->is_complete(now) &&
+        fleet::sends_loads_to(*fleet_, options_.vm, it.self.region))
     {
         out.loads = loads_.sums_excluding(it.self.id, now);
     }
@@ -258,6 +262,10 @@
         return;
     }
     const auto now = clock_->now();
+    if (request->self.control)
+    {
+        aggregation_->record_contact(it.sender, now);
+    }
     if (vms_.apply_report(request->self, now))
     {
         view_changed_ = true;
--- a/Libraries/LibFleet/load_table.cpp
+++ b/Libraries/LibFleet/load_table.cpp
@@ -9,30 +9,64 @@
 void load_table::set_report(
     const std::string& vm, std::vector<load_row> loads, core::time_point now)
 {
-    reports_[vm] = {std::move(loads), now};
-    std::erase_if(reports_, [now](const auto& it) {
-        return now - it.second.received_at > report_lifetime;
-    });
+    auto& it = reports_[vm];
+    subtract(totals_, it.loads);
+    it = {std::move(loads), now};
+    add_to_totals(it.loads);
+    remove_expired(now);
 }
 
-std::vector<load_row> load_table::sums_excluding(
-    const std::string& excluded_vm, core::time_point now) const
+void load_table::add_to_totals(const std::vector<load_row>& loads)
 {
-    std::map<std::string, load_row> sums;
-    for (const auto& [vm, it] : reports_)
+    for (const auto& it : loads)
     {
-        if (vm == excluded_vm || now - it.received_at > report_lifetime)
+        auto& total = totals_[it.upstream];
+        total.upstream = it.upstream;
+        total.running += it.running;
+        total.waiting_tokens += it.waiting_tokens;
+    }
+}
+
+void load_table::subtract(row_map& totals, const std::vector<load_row>& loads)
+{
+    for (const auto& it : loads)
+    {
+        const auto found = totals.find(it.upstream);
+        if (found == totals.end())
         {
             continue;
         }
-        for (const auto& row : it.loads)
+        found->second.running -= it.running;
+        found->second.waiting_tokens -= it.waiting_tokens;
+        if (found->second.running == 0 && found->second.waiting_tokens == 0)
         {
-            auto& sum = sums[row.upstream];
-            sum.upstream = row.upstream;
-            sum.running += row.running;
-            sum.waiting_tokens += row.waiting_tokens;
+            totals.erase(found);
         }
     }
+}
+
+void load_table::remove_expired(core::time_point now)
+{
+    std::erase_if(reports_, [&](const auto& it) {
+        const bool expired = now - it.second.received_at > report_lifetime;
+        if (expired)
+        {
+            subtract(totals_, it.second.loads);
+        }
+        return expired;
+    });
+}
+
+std::vector<load_row>
+load_table::sums_excluding(const std::string& excluded_vm, core::time_point now)
+{
+    remove_expired(now);
+    auto sums = totals_;
+    const auto own = reports_.find(excluded_vm);
+    if (own != reports_.end())
+    {
+        subtract(sums, own->second.loads);
+    }
     std::vector<load_row> out;
     out.reserve(sums.size());
     for (auto& [id, it] : sums)
--- a/Libraries/LibFleet/load_table.hpp
+++ b/Libraries/LibFleet/load_table.hpp
@@ -15,7 +15,7 @@
 class load_table
 {
 public:
-    /// Replaces the previous report of `vm`.
+    /// Replaces the previous report of `vm`. At most one row per upstream.
     void set_report(
         const std::string& vm, std::vector<load_row> loads,
         core::time_point now);
@@ -23,7 +23,7 @@
     /// Sums per upstream over all VMs except `excluded_vm`; expired reports are
     /// ignored.
     std::vector<load_row>
-    sums_excluding(const std::string& excluded_vm, core::time_point now) const;
+    sums_excluding(const std::string& excluded_vm, core::time_point now);
 
     /// Expires the report of a VM that has stopped or is partitioned; its calls
     /// end too.
@@ -36,7 +36,15 @@
         core::time_point received_at{};
     };
 
+    using row_map = std::map<std::string, load_row>;
+
+    void add_to_totals(const std::vector<load_row>& loads);
+    static void subtract(row_map& totals, const std::vector<load_row>& loads);
+    void remove_expired(core::time_point now);
+
     std::map<std::string, vm_report> reports_;
+    // Sums of reports_ by upstream; each reply to a VM needs them.
+    row_map totals_;
 };
 
 } // namespace hyssoploft::fleet
--- a/Libraries/LibFleet/peer_loads.cpp
+++ b/Libraries/LibFleet/peer_loads.cpp
@@ -55,6 +55,21 @@
     return out;
 }
 
+std::vector<load_notice> load_notice_builder::next_notices_or_keepalive(
+    const std::vector<load_row>& loads, core::time_point now)
+{
+    auto out = next_notices(loads, now);
+    if (out.empty() && now - last_notice_at_ >= keepalive_interval)
+    {
+        out.push_back({incarnation_, ++sequence_, {}});
+    }
+    if (!out.empty())
+    {
+        last_notice_at_ = now;
+    }
+    return out;
+}
+
 std::vector<load_row> load_notice_builder::sent_rows() const
 {
     std::vector<load_row> out;
@@ -119,6 +134,43 @@
         }));
 }
 
+std::string peer_load_table::first_current(
+    const std::vector<std::string>& senders, core::time_point now) const
+{
+    const auto found =
+        std::find_if(senders.begin(), senders.end(), [&](const auto& vm) {
+            return peers_.contains(vm) &&
+                   now - last_received_at(vm) <= sums_lifetime;
+        });
+    return found == senders.end() ? std::string() : *found;
+}
+
+std::map<std::string, load_row>
+peer_load_table::rows_of(const std::string& vm, core::time_point now) const
+{
+    std::map<std::string, load_row> out;
+    const auto found = peers_.find(vm);
+    if (found == peers_.end())
+    {
+        return out;
+    }
+    for (const auto& [id, it] : found->second.rows)
+    {
+        if (now - it.received_at <= row_lifetime)
+        {
+            out[id] = it.row;
+        }
+    }
+    return out;
+}
+
+core::time_point peer_load_table::last_received_at(const std::string& vm) const
+{
+    const auto found = peers_.find(vm);
+    return found == peers_.end() ? core::time_point()
+                                 : found->second.last_received_at;
+}
+
 std::map<std::string, load_row>
 peer_load_table::sums(core::time_point now) const
 {
--- a/Libraries/LibFleet/peer_loads.hpp
+++ b/Libraries/LibFleet/peer_loads.hpp
@@ -1,10 +1,10 @@
 #ifndef HYSSOPLOFT_LIBFLEET_PEER_LOADS_HPP
 #define HYSSOPLOFT_LIBFLEET_PEER_LOADS_HPP
 
-// Load notices between the entry VMs of a region and its load aggregator, a
-// control VM that aggregates them. The regular state exchange is too slow for
-// this: an engine has processed a prompt before the report of it arrives. Does
-// no I/O.
+// Load notices between the entry VMs of a region and its load aggregators,
+// control VMs of which one sends the sums back. The regular state exchange is
+// too slow for this: an engine has processed a prompt before the report of it
+// arrives. Does no I/O.
 
 #include <LibCore/time.hpp>
 #include <LibFleet/fleet_messages.hpp>
@@ -17,8 +17,8 @@
 
 namespace hyssoploft::fleet {
 
-/// A datagram between an entry VM and its region's load aggregator. Notices may
-/// be lost or reordered, so each row is sent again after
+/// A datagram between an entry VM and a load aggregator. Notices may be lost or
+/// reordered, so each row is sent again after
 /// load_notice_builder::repeat_interval.
 struct load_notice
 {
@@ -47,12 +47,20 @@
     std::vector<load_notice>
     next_notices(const std::vector<load_row>& loads, core::time_point now);
 
+    /// Same, and an empty notice if none was sent for keepalive_interval: the
+    /// receiver knows that the rows are still right.
+    std::vector<load_notice> next_notices_or_keepalive(
+        const std::vector<load_row>& loads, core::time_point now);
+
     /// The rows as last sent.
     std::vector<load_row> sent_rows() const;
 
     /// Bounds the time for which a lost notice leaves the receiver outdated.
     static constexpr core::duration repeat_interval = std::chrono::seconds(1);
 
+    static constexpr core::duration keepalive_interval =
+        std::chrono::milliseconds(150);
+
     /// Limit on the encoded rows of a notice: a datagram without its framing.
     static constexpr std::size_t max_row_bytes = 900;
 
@@ -65,6 +73,7 @@
 
     const std::uint64_t incarnation_;
     std::uint64_t sequence_ = 0;
+    core::time_point last_notice_at_{};
     std::map<std::string, sent_row> sent_; // Without rows of zero load.
 };
 
@@ -81,6 +90,23 @@
     /// Sums of the unexpired rows of all VMs, by upstream.
     std::map<std::string, load_row> sums(core::time_point now) const;
 
+    /// The first of `senders` from which a notice arrived within
+    /// sums_lifetime; empty: none.
+    std::string first_current(
+        const std::vector<std::string>& senders, core::time_point now) const;
+
+    /// Unexpired rows of one VM, by upstream.
+    std::map<std::string, load_row>
+    rows_of(const std::string& vm, core::time_point now) const;
+
+    /// When the newest notice of `vm` arrived; the epoch if none is known.
+    core::time_point last_received_at(const std::string& vm) const;
+
+    /// An aggregator that sent nothing for this time is silent, and its sums
+    /// are outdated: three keepalives.
+    static constexpr core::duration sums_lifetime =
+        std::chrono::milliseconds(500);
+
     /// A row that is not repeated within this time is outdated: its VM has
     /// stopped or is partitioned, or the notice of its last change was lost.
     static constexpr core::duration row_lifetime =
