LibRate, LibControl: Don't let loans wait for silent or flooded grantors

Streams whose VM borrowed credit were late.

Cause: half of a region's loans went to the frozen grantor first and waited 150 ms for it. After a refusal of all grantors a VM paused 0.1 s, so that 195 VMs put 1,950 requests a second for one account on each grantor. Each request for shares summed demand and grants over all VMs, for each account: VMs times VMs.

Change: grantors that did not answer are left out until they are heard again. The pause after refusals keeps a grantor at 500 such requests a second at any number of VMs. share_allocator keeps totals by account; parts that expired count until their VM's next request or silence, which never grants more than before.

Tests: credit_pool.cpp (silent grantor; bounded load), shares.cpp (parts of 120 VMs with lost requests never exceed one and are free after their lease).

--- a/Libraries/LibControl/fleet_control.hpp
+++ b/Libraries/LibControl/fleet_control.hpp
@@ -254,6 +254,7 @@
     /// Accounts that every grantor refused credit for, and until when no new
     /// request is sent.
     std::map<std::string, core::time_point> loan_refused_until_;
+    rate::silent_grantors silent_grantors_;
     core::time_point started_{};
     /// Recent numbers of voters, and when each was last current.
     std::map<std::uint32_t, core::time_point> recent_voter_counts_;
--- a/Libraries/LibControl/fleet_control_credit.cpp
+++ b/Libraries/LibControl/fleet_control_credit.cpp
@@ -21,9 +21,6 @@
 constexpr std::chrono::milliseconds same_region_loan_timeout{150};
 /// Covers a round trip between regions and a scheduling delay.
 constexpr std::chrono::milliseconds cross_region_loan_timeout{350};
-/// Pause after every grantor refused credit for an account. Without it a caller
-/// far above its rate would cause load on all of them.
-constexpr std::chrono::milliseconds refused_loan_backoff{100};
 
 } // namespace
 
@@ -97,6 +94,7 @@
                 .push_back(id);
         }
     }
+    silent_grantors_.remove_from(same_region, other_regions);
     // Starts at a random grantor of the region to spread the load.
     if (same_region.size() > 1)
     {
@@ -133,7 +131,16 @@
             wire::encode(rate::loan_request{
                 it->account, static_cast<float>(grantor_request.tokens)}),
             same_region ? same_region_loan_timeout : cross_region_loan_timeout,
-            [this, it](absl::StatusOr<wire::incoming_message> answer) {
+            [this, it, grantor = grantor_request.grantor](
+                absl::StatusOr<wire::incoming_message> answer) {
+                if (answer.ok())
+                {
+                    silent_grantors_.answered(grantor);
+                }
+                else
+                {
+                    silent_grantors_.timed_out(grantor);
+                }
                 const auto decoded =
                     answer.ok()
                         ? wire::decode<rate::loan_answer>(answer->payload)
@@ -155,7 +162,9 @@
     const auto now = clock_->now();
     if (it.search.lent() <= 0)
     {
-        loan_refused_until_[it.account] = now + refused_loan_backoff;
+        loan_refused_until_[it.account] =
+            now + rate::refused_loan_backoff(
+                      static_cast<std::uint32_t>(recent_entry_vms_.size()));
     }
     else
     {
--- a/Libraries/LibControl/fleet_control_sync.cpp
+++ b/Libraries/LibControl/fleet_control_sync.cpp
@@ -188,6 +188,7 @@
                              !it.upstreams.empty() ||
                              !it.removed_upstreams.empty();
     merger_.apply(vm, it, now);
+    silent_grantors_.answered(vm);
     view_changed_ |= has_changes;
     if (replica_)
     {
--- a/Libraries/LibFleet/load_aggregation.hpp
+++ b/Libraries/LibFleet/load_aggregation.hpp
@@ -50,8 +50,7 @@
     /// of state with one repetition.
     static constexpr core::duration collection_time =
         std::chrono::milliseconds(1500);
-    static constexpr core::duration pause_threshold =
-        std::chrono::seconds(1);
+    static constexpr core::duration pause_threshold = std::chrono::seconds(1);
 
 private:
     struct contact
--- a/Libraries/LibRate/loan_search.cpp
+++ b/Libraries/LibRate/loan_search.cpp
@@ -13,9 +13,45 @@
 /// Fraction of the missing tokens that is requested from each grantor of
 /// another region: two answers suffice, and surplus tokens are returned.
 constexpr double remote_fraction = 0.5;
+constexpr core::duration min_refused_backoff = std::chrono::milliseconds(100);
 
 } // namespace
 
+void silent_grantors::timed_out(const std::string& grantor)
+{
+    silent_.insert(grantor);
+}
+
+void silent_grantors::answered(const std::string& grantor)
+{
+    silent_.erase(grantor);
+}
+
+void silent_grantors::remove_from(
+    std::vector<std::string>& same_region,
+    std::vector<std::string>& other_regions) const
+{
+    const auto is_silent = [this](const std::string& it) {
+        return silent_.contains(it);
+    };
+    const bool none_left =
+        std::all_of(same_region.begin(), same_region.end(), is_silent) &&
+        std::all_of(other_regions.begin(), other_regions.end(), is_silent);
+    if (!none_left)
+    {
+        std::erase_if(same_region, is_silent);
+        std::erase_if(other_regions, is_silent);
+    }
+}
+
+core::duration refused_loan_backoff(std::uint32_t entry_vms)
+{
+    return std::max<core::duration>(
+        min_refused_backoff,
+        core::from_seconds(
+            static_cast<double>(entry_vms) / max_refused_requests));
+}
+
 loan_search::loan_search(
     double wanted, std::vector<std::string> same_region,
     std::vector<std::string> other_regions)
--- a/Libraries/LibRate/loan_search.hpp
+++ b/Libraries/LibRate/loan_search.hpp
@@ -8,11 +8,40 @@
 #include <LibRate/credit_messages.hpp>
 
 #include <cstddef>
+#include <cstdint>
+#include <set>
 #include <string>
 #include <vector>
 
 namespace hyssoploft::rate {
 
+/// Grantors that did not answer in time. A request that asks them waits for
+/// their timeout, so they are left out until they are heard again.
+class silent_grantors
+{
+public:
+    void timed_out(const std::string& grantor);
+
+    /// The grantor sent an answer of any kind.
+    void answered(const std::string& grantor);
+
+    /// Removes the silent grantors from both lists, unless no grantor would be
+    /// left.
+    void remove_from(
+        std::vector<std::string>& same_region,
+        std::vector<std::string>& other_regions) const;
+
+private:
+    std::set<std::string> silent_;
+};
+
+/// Time for which a VM asks for no credit of an account after every grantor
+/// refused it. A grantor gets at most `max_refused_requests` such requests a
+/// second from all `entry_vms`, also for an account far above its rate.
+core::duration refused_loan_backoff(std::uint32_t entry_vms);
+
+inline constexpr std::uint32_t max_refused_requests = 500; ///< Per second.
+
 class loan_search
 {
 public:
--- a/Libraries/LibRate/share_allocator.cpp
+++ b/Libraries/LibRate/share_allocator.cpp
@@ -39,71 +39,100 @@
     return out;
 }
 
+share_allocator::vm_account&
+share_allocator::account_of(vm_state& it, const std::string& account)
+{
+    const auto [found, added] = it.accounts.try_emplace(account);
+    totals_[account].vms += added ? 1 : 0;
+    return found->second;
+}
+
+void share_allocator::set_demand(
+    const std::string& account, vm_account& it, double demand)
+{
+    totals_[account].demand += demand - it.demand;
+    it.demand = demand;
+}
+
+void share_allocator::count_part(
+    const std::string& account, vm_account& it, core::time_point now)
+{
+    const double part = outstanding_part(it, now);
+    totals_[account].outstanding += part - it.counted_part;
+    it.counted_part = part;
+}
+
 void share_allocator::apply_request(
     vm_state& it, const share_request& request, core::time_point now)
 {
     for (auto& [account, state] : it.accounts)
     {
-        state.demand = 0;
+        set_demand(account, state, 0);
         while (!state.parts.empty() &&
                (state.parts.front().expires_at <= now ||
                 state.parts.front().sequence < request.applied))
         {
             state.parts.pop_front();
         }
+        count_part(account, state, now);
     }
     for (const auto& demand : request.demands)
     {
-        it.accounts[demand.account].demand =
-            std::max(0.0F, demand.tokens_per_second);
+        set_demand(
+            demand.account, account_of(it, demand.account),
+            std::max(0.0F, demand.tokens_per_second));
     }
 }
 
 double share_allocator::target_part(
-    const vm_state& requester, const std::string& account) const
+    const vm_account& requester, const std::string& account)
 {
-    double total_demand = 0;
-    double vm_count = 0;
-    for (const auto& [id, it] : vms_)
+    const auto& totals = totals_[account];
+    const auto vms = static_cast<double>(std::max<std::size_t>(1, totals.vms));
+    if (requester.demand <= 0)
     {
-        const auto found = it.accounts.find(account);
-        if (found != it.accounts.end())
-        {
-            total_demand += found->second.demand;
-            vm_count += 1;
-        }
+        return (totals.demand <= 0 ? 1.0 : even_fraction) / vms;
     }
-    const double even_share = even_fraction / std::max(1.0, vm_count);
-    if (total_demand <= 0)
-    {
-        return 1.0 / std::max(1.0, vm_count);
-    }
-    const double demand_fraction =
-        requester.accounts.at(account).demand / total_demand;
-    return even_share + (1.0 - even_fraction) * demand_fraction;
+    return even_fraction / vms +
+           (1.0 - even_fraction) *
+               std::min(1.0, requester.demand / totals.demand);
 }
 
 double share_allocator::available_part(
-    const vm_state& requester, const std::string& account,
-    core::time_point now) const
+    const vm_account& requester, const std::string& account)
 {
-    double others = 0;
-    for (const auto& [id, it] : vms_)
+    const double others = totals_[account].outstanding - requester.counted_part;
+    return std::clamp(1.0 - others, 0.0, 1.0);
+}
+
+void share_allocator::expire_silent_vms(core::time_point now)
+{
+    for (auto it = vms_.begin(); it != vms_.end();)
     {
-        const auto found = it.accounts.find(account);
-        if (&it != &requester && found != it.accounts.end())
+        if (now - it->second.last_request_at < share_lease_time_at_grantor)
         {
-            others += outstanding_part(found->second, now);
+            ++it;
+            continue;
         }
+        remove_from_totals(it->second);
+        it = vms_.erase(it);
     }
-    return std::max(0.0, 1.0 - others);
 }
 
-void share_allocator::expire_silent_vms(core::time_point now)
+void share_allocator::remove_from_totals(vm_state& it)
 {
-    std::erase_if(vms_, [now](const auto& it) {
-        return now - it.second.last_request_at > share_lease_time_at_grantor;
-    });
+    for (auto& [account, state] : it.accounts)
+    {
+        set_demand(account, state, 0);
+        auto& totals = totals_[account];
+        totals.outstanding -= state.counted_part;
+        totals.vms -= 1;
+        if (totals.vms == 0)
+        {
+            // Sums of many additions would not end at exactly 0.
+            totals_.erase(account);
+        }
+    }
 }
 
 share_grant share_allocator::handle(
@@ -125,15 +154,15 @@
     out.grantors = grantors;
     for (const auto& demand : request.demands)
     {
-        auto& it = requester.accounts[demand.account];
-        double part = target_part(requester, demand.account);
+        auto& it = account_of(requester, demand.account);
+        double part = target_part(it, demand.account);
         if (now < unrestricted_from_)
         {
             part = std::max<double>(
                 std::clamp<double>(demand.held, 0.0, 1.0),
                 restart_fraction * part);
         }
-        part = std::min(part, available_part(requester, demand.account, now));
+        part = std::min(part, available_part(it, demand.account));
         if (it.parts.size() >= max_tracked_parts)
         {
             // The oldest part may still be in force, so it is merged into
@@ -144,6 +173,7 @@
         }
         it.parts.push_back(
             {request.sequence, now + share_lease_time_at_grantor, part});
+        count_part(demand.account, it, now);
         out.shares.push_back({demand.account, static_cast<float>(part)});
     }
     return out;
--- a/Libraries/LibRate/share_allocator.hpp
+++ b/Libraries/LibRate/share_allocator.hpp
@@ -51,6 +51,17 @@
     {
         double demand = 0;              // Tokens per second.
         std::deque<granted_part> parts; // Oldest first.
+        double counted_part = 0;        // In account_totals::outstanding.
+    };
+
+    // Sums over all VMs, so that a request costs the same at any number of
+    // them.
+    struct account_totals
+    {
+        double demand = 0;
+        double outstanding = 0; // Parts that expired count until the VM's next
+                                // request, or until the VM is silent.
+        std::size_t vms = 0;
     };
 
     struct vm_state
@@ -61,18 +72,22 @@
     };
 
     static double outstanding_part(const vm_account& it, core::time_point now);
+    vm_account& account_of(vm_state& it, const std::string& account);
+    void set_demand(const std::string& account, vm_account& it, double demand);
+    void count_part(
+        const std::string& account, vm_account& it, core::time_point now);
     void apply_request(
         vm_state& it, const share_request& request, core::time_point now);
+    double target_part(const vm_account& requester, const std::string& account);
     double
-    target_part(const vm_state& requester, const std::string& account) const;
-    double available_part(
-        const vm_state& requester, const std::string& account,
-        core::time_point now) const;
+    available_part(const vm_account& requester, const std::string& account);
     void expire_silent_vms(core::time_point now);
+    void remove_from_totals(vm_state& it);
 
     const core::time_point unrestricted_from_; // No older grant is in force.
     // By VM and incarnation of its process.
     std::map<std::pair<std::string, std::uint64_t>, vm_state> vms_;
+    std::map<std::string, account_totals> totals_; // By account.
 };
 
 } // namespace hyssoploft::rate
--- a/Tests/LibRate/credit_pool.cpp
+++ b/Tests/LibRate/credit_pool.cpp
@@ -350,3 +350,40 @@
         CHECK(it.credit("shop", start) <= left);
     }
 }
+
+// Half of a region's loans waited 150 ms for a control VM that was frozen.
+TEST_CASE("a silent grantor is not asked until it is heard again")
+{
+    using names = std::vector<std::string>;
+    rate::silent_grantors silent;
+    silent.timed_out("a");
+    names same_region{"a", "b"};
+    names other_regions{"c"};
+    silent.remove_from(same_region, other_regions);
+    CHECK_EQ(same_region, names{"b"});
+    CHECK_EQ(other_regions, names{"c"});
+    silent.answered("a");
+    same_region = {"a", "b"};
+    silent.remove_from(same_region, other_regions);
+    CHECK_EQ(same_region, names{"a", "b"});
+    for (const auto* it : {"a", "b", "c"})
+    {
+        silent.timed_out(it);
+    }
+    silent.remove_from(same_region, other_regions);
+    CHECK_EQ(same_region, names{"a", "b"});
+    CHECK_EQ(other_regions, names{"c"});
+}
+
+// One account far above its rate kept the control VMs of 195 entry VMs busy,
+// and the loans of all others waited.
+TEST_CASE("an account above its rate causes bounded load at any number of VMs")
+{
+    for (const std::uint32_t vms : {1U, 9U, 70U, 195U, 1000U})
+    {
+        CAPTURE(vms);
+        const auto pause = core::to_seconds(rate::refused_loan_backoff(vms));
+        CHECK(pause >= 0.1);
+        CHECK(vms / pause <= rate::max_refused_requests * 1.001);
+    }
+}
--- a/Tests/LibRate/shares.cpp
+++ b/Tests/LibRate/shares.cpp
@@ -233,3 +233,34 @@
         }
     }
 }
+
+// Guards against sums over all VMs that differ from what the VMs hold.
+TEST_CASE("parts of a large fleet add up to one, and are free once it is gone")
+{
+    rate::share_allocator allocator(start, true);
+    core::seeded_random random(7);
+    auto now = start;
+    constexpr std::uint64_t rounds = 40;
+    constexpr std::uint64_t vms = 120;
+    for (std::uint64_t round = 1; round <= rounds; ++round)
+    {
+        for (std::uint64_t vm = 0; vm < vms; ++vm)
+        {
+            now += milliseconds(4);
+            if (random.below(10) == 0)
+            {
+                continue; // Its request is lost.
+            }
+            const auto demand = static_cast<double>(random.below(100));
+            (void)allocator.handle(
+                "vm-" + std::to_string(vm), 1,
+                make_request(round, demand, round > 1 ? round - 1 : 0), 1, now);
+        }
+        CHECK(allocator.outstanding("shop", now) <= 1.0 + 1e-9);
+    }
+    CHECK(allocator.outstanding("shop", now) > 0.8);
+    now += rate::share_lease_time_at_grantor;
+    CHECK(
+        first_part(allocator.handle("last", 1, make_request(1, 5), 1, now)) ==
+        doctest::Approx(1.0));
+}
