--- a/Libraries/LibRelay/relay_run.cpp
+++ b/Libraries/LibRelay/relay_run.cpp
@@ -245,6 +245,14 @@
     }
 }
 
+void relay_run::record_break(const absl::Status& status)
+{
+    const auto reason = absl::IsDeadlineExceeded(status) ? "silent"
+                        : absl::IsCancelled(status)      ? "cancelled"
+                                                         : "broken";
+    attempts_text_ += core::concat(":", reason);
+}
+
 bool relay_run::may_rerun() const
 {
     return !terms_.relayed &&
@@ -292,6 +300,10 @@
         last_end_ = result.end;
         attempts_text_ += core::concat(
             ":", core::name_of(execution_state_names, result.execution));
+        if (result.execution == execution_state::may_have_run)
+        {
+            record_break(result.status);
+        }
         co_return after_failure(result, target);
     }
     const auto next =
@@ -350,6 +362,7 @@
             : time_left());
     if (!body.ok())
     {
+        record_break(body.status());
         last_end_ = absl::IsCancelled(body.status())
                         ? placement_outcome::cancelled
                         : placement_outcome::broken;
@@ -412,7 +425,9 @@
             last_end_ = events.ok() || !absl::IsCancelled(events.status())
                             ? placement_outcome::broken
                             : placement_outcome::cancelled;
-            attempts_text_ += ":cut";
+            record_break(
+                events.ok() ? absl::DataLossError("end inside an event")
+                            : events.status());
             if (caller_.caller_gone())
             {
                 outcome_ = "caller_gone";
--- a/Libraries/LibRelay/relay_run.hpp
+++ b/Libraries/LibRelay/relay_run.hpp
@@ -55,6 +55,8 @@
     next_step after_failure(
         const attempt_result& result,
         const routing::placement& failed_placement);
+    /// Appends the reason to the log's text of the attempt.
+    void record_break(const absl::Status& status);
     http::asio::awaitable<void>
     send_final_answer(const std::optional<routing::placement_result>& refused);
     http::asio::awaitable<void> send_refusal(gateway::refusal it);
--- a/Libraries/LibRelay/upstream_attempt.cpp
+++ b/Libraries/LibRelay/upstream_attempt.cpp
@@ -133,7 +133,7 @@
     {
         co_return attempt_result{
             execution_state::not_run, routing::placement_outcome::unreachable,
-            false, "no address for the call"};
+            false, absl::UnavailableError("no address for the call")};
     }
     bool is_expired = false;
     // Made when the connection is there: the process may have been paused, or
@@ -161,13 +161,13 @@
             execution_state::not_run,
             is_cancelled ? routing::placement_outcome::cancelled
                          : routing::placement_outcome::unreachable,
-            false, status.ToString()};
+            false, status};
     }
     co_return attempt_result{
         execution_state::may_have_run,
         absl::IsCancelled(status) ? routing::placement_outcome::cancelled
                                   : routing::placement_outcome::broken,
-        true, status.ToString()};
+        true, status};
 }
 
 http::asio::awaitable<absl::Status>
@@ -220,7 +220,7 @@
             execution_state::may_have_run,
             absl::IsCancelled(status) ? routing::placement_outcome::cancelled
                                       : routing::placement_outcome::broken,
-            true, status.ToString()};
+            true, status};
     }
     const auto code = call_.head().result_int();
     // not_run_header is trusted from VMs of the fleet only.
@@ -240,7 +240,8 @@
         const auto body = co_await call_.read_all(max_refusal_bytes, limit);
         co_return attempt_result{
             execution_state::not_run, end, true,
-            core::concat("status ", code, body.ok() ? "" : ", cut")};
+            absl::UnavailableError(core::concat(
+                "status ", code, body.ok() ? "" : ", cut"))};
     }
     if (promises_not_run(code) && not_run_value.empty())
     {
@@ -249,7 +250,9 @@
         call_.cancel();
         co_return attempt_result{
             execution_state::may_have_run, routing::placement_outcome::errored,
-            true, core::concat("status ", code, " without a statement")};
+            true,
+            absl::DataLossError(
+                core::concat("status ", code, " without a statement"))};
     }
     const bool is_success = code >= 200 && code < 300;
     const bool is_valid = !parsed_answer_.has_content_encoding &&
@@ -261,11 +264,12 @@
         co_return attempt_result{
             execution_state::may_have_run, routing::placement_outcome::broken,
             true,
-            core::concat("status ", code, ", not a valid upstream answer")};
+            absl::DataLossError(core::concat(
+                "status ", code, ", not a valid upstream answer"))};
     }
     co_return attempt_result{
         execution_state::answered, routing::placement_outcome::completed, true,
-        ""};
+        absl::OkStatus()};
 }
 
 } // namespace hyssoploft::relay
--- a/Libraries/LibRelay/upstream_attempt.hpp
+++ b/Libraries/LibRelay/upstream_attempt.hpp
@@ -28,7 +28,7 @@
     execution_state execution = execution_state::may_have_run;
     routing::placement_outcome end = routing::placement_outcome::broken;
     bool was_sent = true; ///< False if no connection was established.
-    std::string detail;   ///< For the log.
+    absl::Status status;  ///< Why it was not answered.
 };
 
 class upstream_attempt
