LibRelay: Give up a silent attempt only once its repeat is reserved

What callers saw: streams cut midway, and 502 with time left, although their upstream still worked.

Cause: an attempt had a time limit, set when it began or at its last event, if a repeat seemed permitted then. At the limit the connection was closed, and only then were the retry budget, the manifest in force and the router asked. Any of them could say no: the streams of one silent upstream reach their limits together and the budget admits a part, a new manifest drops the route, the other upstreams leave. The limit of the first event also did not count the attempt itself, so that the last permitted one was given up as well. Class: a permission that is checked at another time than its use.

Change: silence is watched by a timer beside the call. At its end the repeat is reserved (admission, budget, placement); if all grant it, the attempt is given up, and the next one uses the reservation. Else the call goes on until its deadline and asks again every 200 ms. A stream is not resumed elsewhere before its upstream was silent for 2 s, as sound upstreams may pause for a second.

--- a/Libraries/LibRelay/relay_run.cpp
+++ b/Libraries/LibRelay/relay_run.cpp
@@ -23,16 +23,18 @@
 constexpr std::chrono::milliseconds min_time_left{20};
 /// Time reserved for sending the final answer.
 constexpr std::chrono::milliseconds answer_margin{15};
-/// A retryable call without a stream times out after this fraction of its
+/// A retryable call without a stream is repeated after this fraction of its
 /// latency target; almost all answers arrive sooner.
-constexpr double answer_timeout_factor = 0.8;
+constexpr double answer_patience_factor = 0.8;
 /// The same for the first event of a resumable stream.
-constexpr double first_event_timeout_factor = 2.0;
-/// Lower bound on these timeouts, as a multiple of the expected time.
+constexpr double first_event_patience_factor = 2.0;
+/// Lower bound on these times, as a multiple of the expected time.
 constexpr double expected_time_factor = 4.0;
 /// A stream that can resume at another upstream counts as stuck after this
 /// multiple of the target for pauses between events.
-constexpr double pause_timeout_factor = 2.0;
+constexpr double pause_patience_factor = 2.0;
+/// Interval at which a repeat is tried again while the upstream stays silent.
+constexpr std::chrono::milliseconds silence_check_interval{200};
 /// Longest wait for a current view after a pause: a VM that is cut off
 /// goes on with what it knows.
 constexpr std::chrono::milliseconds max_view_wait{1000};
@@ -64,7 +66,8 @@
 
 relay_run::relay_run(
     relay_services& services, http::exchange& caller, request_terms terms)
-    : services_(services), caller_(caller), terms_(std::move(terms))
+    : services_(services), caller_(caller), terms_(std::move(terms)),
+      silence_timer_(caller.executor())
 {}
 
 std::chrono::nanoseconds relay_run::time_left() const
@@ -131,8 +134,7 @@
             break;
         }
         const auto now = services_.clock->now();
-        const auto placed =
-            services_.router->choose(*view, make_placement_request(), now);
+        const auto placed = choose_placement(*view, now);
         estimate_ = placed.estimate;
         loads_age_ = now - view->loads_received_at;
         if (!placed.chosen)
@@ -155,6 +157,7 @@
         }
     }
     caller_.on_caller_gone(nullptr);
+    release_reservation();
     if (terms_.reserved && attempt_counts_.executions == 0)
     {
         services_.rates->settle(*terms_.reserved, 0, services_.clock->now());
@@ -162,33 +165,26 @@
     write_log();
 }
 
-std::chrono::nanoseconds
-relay_run::first_answer_timeout(bool has_alternative) const
+core::duration relay_run::first_answer_patience() const
 {
-    const auto remaining = time_left();
-    if (!may_move(has_alternative))
+    const auto target = core::to_seconds(terms_.latency_target);
+    const auto expected =
+        seconds_of(expected_time_factor * estimate_.expected_seconds);
+    if (!is_resumable())
     {
-        return remaining;
+        return std::max(seconds_of(answer_patience_factor * target), expected);
     }
-    const double target_factor =
-        is_resumable() ? first_event_timeout_factor : answer_timeout_factor;
-    const double timeout_s = std::max(
-        target_factor * core::to_seconds(terms_.latency_target),
-        expected_time_factor * estimate_.expected_seconds);
-    return std::min(remaining, seconds_of(timeout_s));
+    return std::max<core::duration>(
+        {seconds_of(first_event_patience_factor * target), expected,
+         max_sound_silence});
 }
 
-std::chrono::nanoseconds relay_run::pause_timeout(bool has_alternative) const
+core::duration relay_run::pause_patience() const
 {
-    const auto remaining = time_left();
-    if (!may_move(has_alternative) || terms_.pause_target <= core::duration())
-    {
-        return remaining;
-    }
-    return std::min(
-        remaining,
+    return std::max<core::duration>(
         seconds_of(
-            pause_timeout_factor * core::to_seconds(terms_.pause_target)));
+            pause_patience_factor * core::to_seconds(terms_.pause_target)),
+        max_sound_silence);
 }
 
 std::optional<gateway::refusal>
@@ -211,7 +207,7 @@
         return gateway::make_refusal(
             refusal_reason::unknown_key, "the key belongs to another account");
     }
-    if (attempt_counts_.executions > 0)
+    if (attempt_counts_.executions > 0 || current_attempt_)
     {
         // A repeat goes to the role that ran it first.
         terms_.manifest_version = terms.manifest_version;
@@ -248,6 +244,7 @@
 void relay_run::record_break(const absl::Status& status)
 {
     const auto reason = absl::IsDeadlineExceeded(status) ? "silent"
+                        : reserved_                      ? "silent"
                         : absl::IsCancelled(status)      ? "cancelled"
                                                          : "broken";
     attempts_text_ += core::concat(":", reason);
@@ -255,16 +252,134 @@
 
 bool relay_run::may_rerun() const
 {
+    auto counts = attempt_counts_;
+    counts.executions += awaits_head_ ? 1 : 0;
     return !terms_.relayed &&
-           relay::may_rerun(
-               terms_.repeat, terms_.max_executions, attempt_counts_);
+           relay::may_rerun(terms_.repeat, terms_.max_executions, counts);
+}
+
+bool relay_run::should_rerun()
+{
+    // A reservation was charged to the budget.
+    return reserved_ ||
+           (may_rerun() && time_left() > min_time_left && take_retry());
 }
 
-bool relay_run::may_move(bool has_alternative) const
+routing::placement_result relay_run::choose_placement(
+    const fleet::traffic_view& view, core::time_point now)
 {
-    return has_alternative && may_rerun() &&
-           !retry_budget_for(services_, terms_.role)
-                .is_exhausted(services_.clock->now());
+    if (reserved_ && view.routes &&
+        view.routes->version() == terms_.manifest_version)
+    {
+        return *std::exchange(reserved_, std::nullopt);
+    }
+    release_reservation();
+    return services_.router->choose(view, make_placement_request(), now);
+}
+
+void relay_run::release_reservation()
+{
+    if (const auto it = std::exchange(reserved_, std::nullopt))
+    {
+        services_.router->finish_call(
+            it->chosen->ticket, placement_outcome::cancelled,
+            services_.clock->now());
+    }
+}
+
+void relay_run::watch_silence(core::time_point until)
+{
+    if (terms_.relayed || !is_retryable(terms_.repeat))
+    {
+        return;
+    }
+    silence_deadline_ = until;
+    start_silence_timer();
+}
+
+void relay_run::stop_silence_watch()
+{
+    silence_deadline_.reset();
+}
+
+void relay_run::start_silence_timer()
+{
+    // A running timer finds out at its end whether the deadline has moved:
+    // rescheduling it for each event costs a system call.
+    if (is_silence_timer_running_)
+    {
+        return;
+    }
+    is_silence_timer_running_ = true;
+    silence_timer_.expires_after(*silence_deadline_ - services_.clock->now());
+    silence_timer_.async_wait(
+        [weak = weak_from_this()](const http::error_code& ec) {
+            const auto self = weak.lock();
+            if (!ec && self)
+            {
+                self->is_silence_timer_running_ = false;
+                self->on_silence();
+            }
+        });
+}
+
+void relay_run::on_silence()
+{
+    if (!silence_deadline_ || !current_attempt_)
+    {
+        return;
+    }
+    const auto now = services_.clock->now();
+    if (now >= *silence_deadline_)
+    {
+        if (reserve_repeat())
+        {
+            stop_silence_watch();
+            current_attempt_->cancel();
+            return;
+        }
+        silence_deadline_ = now + silence_check_interval;
+    }
+    start_silence_timer();
+}
+
+bool relay_run::reserve_repeat()
+{
+    const auto now = services_.clock->now();
+    auto& budget = retry_budget_for(services_, terms_.role);
+    const auto view = services_.source->view();
+    // A call that is still connecting has a time limit of its own.
+    const bool is_permitted =
+        current_attempt_->was_sent() && may_rerun() &&
+        time_left() > min_time_left && !budget.is_exhausted(now) &&
+        !fleet::is_outdated(*view, now) && !check_admission(*view);
+    if (!is_permitted)
+    {
+        return false;
+    }
+    auto request = make_placement_request();
+    if (current_target_->local)
+    {
+        request.excluded.insert(current_target_->upstream);
+    }
+    else
+    {
+        request.excluded_regions.insert(current_target_->region);
+    }
+    reserved_ = services_.router->choose(*view, request, now);
+    const bool is_useful =
+        reserved_->chosen &&
+        reserved_->chosen->reason != routing::placement_reason::last_resort;
+    if (is_useful && budget.take(now))
+    {
+        return true;
+    }
+    if (reserved_->chosen)
+    {
+        release_reservation();
+    }
+    reserved_.reset();
+    return false;
 }
 
 bool relay_run::take_retry()
@@ -279,10 +394,13 @@
     ++attempt_counts_.attempts;
     upstream_attempt call(services_, terms_, caller_.pool());
     current_attempt_ = &call;
-    const auto limit = first_answer_timeout(target.has_alternative);
-    first_event_deadline_ = services_.clock->now() + limit;
+    current_target_ = &target;
+    first_event_deadline_ = services_.clock->now() + first_answer_patience();
+    watch_silence(first_event_deadline_);
+    awaits_head_ = true;
     const auto result = co_await call.start(
-        view, target, caller_.message(), framer_.last_id(), limit);
+        view, target, caller_.message(), framer_.last_id(), time_left());
+    awaits_head_ = false;
     if (!attempts_text_.empty())
     {
         attempts_text_ += ',';
@@ -296,8 +414,9 @@
     }
     if (result.execution != execution_state::answered)
     {
+        stop_silence_watch();
         current_attempt_ = nullptr;
-        last_end_ = result.end;
+        last_end_ = reserved_ ? placement_outcome::broken : result.end;
         attempts_text_ += core::concat(
             ":", core::name_of(execution_state_names, result.execution));
         if (result.execution == execution_state::may_have_run)
@@ -306,10 +425,10 @@
         }
         co_return after_failure(result, target);
     }
-    const auto next =
-        call.parsed_answer().is_stream
-            ? co_await forward_events(call, target.has_alternative)
-            : co_await forward_body(call, target.has_alternative);
+    const auto next = call.parsed_answer().is_stream
+                          ? co_await forward_events(call)
+                          : co_await forward_body(call);
+    stop_silence_watch();
     current_attempt_ = nullptr;
     if (next == next_step::retry && call.via_vm().empty())
     {
@@ -343,27 +462,25 @@
     if (result.execution == execution_state::not_run)
     {
         // A call that was never sent does not count against the retry budget.
-        const bool should_retry = !terms_.relayed &&
-                                  may_resend(attempt_counts_) &&
-                                  (!result.was_sent || take_retry());
+        const bool should_retry =
+            !terms_.relayed && may_resend(attempt_counts_) &&
+            (reserved_ || !result.was_sent || take_retry());
         return should_retry ? next_step::retry : next_step::give_up;
     }
-    return may_rerun() && take_retry() ? next_step::retry : next_step::give_up;
+    return should_rerun() ? next_step::retry : next_step::give_up;
 }
 
 http::asio::awaitable<relay_run::next_step>
-relay_run::forward_body(upstream_attempt& from, bool has_alternative)
+relay_run::forward_body(upstream_attempt& from)
 {
     services_.router->record_first_event(
         placement_ticket_, services_.clock->now());
-    auto body = co_await from.read_all(
-        may_move(has_alternative)
-            ? first_event_deadline_ - services_.clock->now()
-            : time_left());
+    auto body = co_await from.read_all(time_left());
+    stop_silence_watch();
     if (!body.ok())
     {
         record_break(body.status());
-        last_end_ = absl::IsCancelled(body.status())
+        last_end_ = absl::IsCancelled(body.status()) && !reserved_
                         ? placement_outcome::cancelled
                         : placement_outcome::broken;
         if (caller_.caller_gone())
@@ -371,8 +488,7 @@
             outcome_ = "caller_gone";
             co_return next_step::done;
         }
-        co_return may_rerun() && take_retry() ? next_step::retry
-                                              : next_step::give_up;
+        co_return should_rerun() ? next_step::retry : next_step::give_up;
     }
     http::response answer(from.head().result(), 11);
     services_.codec->copy_answer_headers(from.head(), answer.base());
@@ -380,9 +496,7 @@
     const bool failed = answer.result_int() >= 500;
     last_end_ =
         failed ? placement_outcome::errored : placement_outcome::completed;
-    const bool should_retry =
-        failed && may_rerun() && time_left() > min_time_left && take_retry();
-    if (should_retry)
+    if (failed && should_rerun())
     {
         failed_answer_ = std::move(answer);
         co_return next_step::retry;
@@ -396,7 +510,7 @@
 }
 
 http::asio::awaitable<relay_run::next_step>
-relay_run::forward_events(upstream_attempt& from, bool has_alternative)
+relay_run::forward_events(upstream_attempt& from)
 {
     // The head is sent with the first event, so that a stream that breaks
     // earlier can still be retried at another upstream.
@@ -409,22 +523,25 @@
     };
     // Progress is an event. Other bytes do not extend the time for the next
     // one.
-    auto progress_deadline = first_event_deadline_;
+    auto silence_deadline = first_event_deadline_;
     std::string held; // Comments before the first event.
     for (;;)
     {
         const auto events_before = framer_.event_count();
-        auto bytes =
-            co_await from.read_some(progress_deadline - services_.clock->now());
+        watch_silence(silence_deadline);
+        auto bytes = co_await from.read_some(time_left());
+        // A caller that reads slowly does not make the upstream silent.
+        stop_silence_watch();
         const bool ended = bytes.ok() && bytes->empty();
         auto events = bytes.ok() ? framer_.feed(*bytes)
                                  : absl::StatusOr<std::string>(bytes.status());
         if (!events.ok() || (ended && !framer_.at_boundary()))
         {
             framer_.drop_partial();
-            last_end_ = events.ok() || !absl::IsCancelled(events.status())
-                            ? placement_outcome::broken
-                            : placement_outcome::cancelled;
+            last_end_ =
+                events.ok() || reserved_ || !absl::IsCancelled(events.status())
+                    ? placement_outcome::broken
+                    : placement_outcome::cancelled;
             record_break(
                 events.ok() ? absl::DataLossError("end inside an event")
                             : events.status());
@@ -433,9 +550,7 @@
                 outcome_ = "caller_gone";
                 co_return next_step::done;
             }
-            const bool should_retry =
-                may_rerun() && time_left() > min_time_left && take_retry();
-            co_return should_retry ? next_step::retry : next_step::give_up;
+            co_return should_rerun() ? next_step::retry : next_step::give_up;
         }
         const bool has_progress = framer_.event_count() > events_before;
         if (!caller_.answer_started() && !ended && !has_progress)
@@ -466,7 +581,6 @@
         if (has_progress)
         {
             record_event_time();
-            progress_deadline = last_event_at_ + pause_timeout(has_alternative);
         }
         if (!events->empty() && !(co_await caller_.write(*events)).ok())
         {
@@ -475,6 +589,10 @@
             caller_.close_after();
             co_return next_step::done;
         }
+        if (has_progress)
+        {
+            silence_deadline = services_.clock->now() + pause_patience();
+        }
         if (ended)
         {
             last_end_ = placement_outcome::completed;
--- a/Libraries/LibRelay/relay_run.hpp
+++ b/Libraries/LibRelay/relay_run.hpp
@@ -9,6 +9,8 @@
 #include <LibRelay/repeat_rules.hpp>
 #include <LibRelay/upstream_attempt.hpp>
 
+#include <boost/asio/steady_timer.hpp>
+
 #include <functional>
 #include <memory>
 #include <optional>
@@ -48,10 +50,8 @@
 
     http::asio::awaitable<next_step>
     attempt(const fleet::traffic_view& view, const routing::placement& target);
-    http::asio::awaitable<next_step>
-    forward_body(upstream_attempt& from, bool has_alternative);
-    http::asio::awaitable<next_step>
-    forward_events(upstream_attempt& from, bool has_alternative);
+    http::asio::awaitable<next_step> forward_body(upstream_attempt& from);
+    http::asio::awaitable<next_step> forward_events(upstream_attempt& from);
     next_step after_failure(
         const attempt_result& result,
         const routing::placement& failed_placement);
@@ -61,17 +61,31 @@
     send_final_answer(const std::optional<routing::placement_result>& refused);
     http::asio::awaitable<void> send_refusal(gateway::refusal it);
     routing::placement_request make_placement_request() const;
+    /// The reserved placement, or a new one.
+    routing::placement_result
+    choose_placement(const fleet::traffic_view& view, core::time_point now);
+
+    // An attempt whose upstream is silent is given up only once its repeat is
+    // reserved. Otherwise it goes on until its deadline.
+    void watch_silence(core::time_point until);
+    void stop_silence_watch();
+    void start_silence_timer();
+    void on_silence();
+    bool reserve_repeat();
+    void release_reservation();
     /// The refusal of a request that the manifest in force does not permit.
     std::optional<gateway::refusal>
     check_admission(const fleet::traffic_view& view);
     http::asio::awaitable<void> wait_for_current_view();
     bool take_retry();
+    /// Whether the request may run once more, after the current attempt.
     bool may_rerun() const;
-    /// Whether a slow attempt should be given up for another upstream.
-    bool may_move(bool has_alternative) const;
+    /// Whether to repeat the request after a failure of its upstream.
+    bool should_rerun();
     std::chrono::nanoseconds time_left() const;
-    std::chrono::nanoseconds first_answer_timeout(bool has_alternative) const;
-    std::chrono::nanoseconds pause_timeout(bool has_alternative) const;
+    /// Silence after which a repeat is tried.
+    core::duration first_answer_patience() const;
+    core::duration pause_patience() const;
     bool is_resumable() const
     {
         return terms_.repeat == manifest::repeat_kind::resumable_stream;
@@ -87,7 +101,9 @@
     std::set<std::string> excluded_upstreams_;
     std::set<std::string> excluded_regions_;
     upstream_attempt* current_attempt_ = nullptr; // Null between attempts.
-    std::uint64_t placement_ticket_ = 0;          // Of the current placement.
+    const routing::placement* current_target_ = nullptr; // Of that attempt.
+    bool awaits_head_ = false;           // Of the current attempt's answer.
+    std::uint64_t placement_ticket_ = 0; // Of the current placement.
     attempt_counts attempt_counts_;
     /// An error answer of an upstream, forwarded if no retry succeeds.
     std::optional<http::response> failed_answer_;
@@ -96,6 +112,12 @@
     /// Time for the first event, or for all of an answer that may be asked
     /// for again.
     core::time_point first_event_deadline_{}; // Of the current attempt.
+    http::asio::steady_timer silence_timer_;
+    bool is_silence_timer_running_ = false;
+    std::optional<core::time_point> silence_deadline_; // While it is watched.
+    /// For the next attempt, charged to the retry budget; made under the
+    /// manifest of terms_.
+    std::optional<routing::placement_result> reserved_;
     core::time_point first_event_at_{};
     core::time_point last_event_at_{};
     core::duration longest_pause_{};       // Between two events.
--- a/Libraries/LibRelay/repeat_rules.hpp
+++ b/Libraries/LibRelay/repeat_rules.hpp
@@ -21,6 +21,10 @@
 /// Limit on attempts of a request, including those that did not run.
 inline constexpr std::uint32_t max_attempts_per_request = 4;
 
+/// A sound upstream may send nothing for this time and go on, as during a pause
+/// of its process. A stream is not resumed elsewhere sooner.
+inline constexpr std::chrono::milliseconds max_sound_silence{2000};
+
 /// True for requests that may run more than once: idempotent ones, and streams
 /// that can resume at another upstream.
 constexpr bool is_retryable(manifest::repeat_kind kind)
--- a/Libraries/LibRelay/upstream_attempt.cpp
+++ b/Libraries/LibRelay/upstream_attempt.cpp
@@ -240,8 +240,8 @@
         const auto body = co_await call_.read_all(max_refusal_bytes, limit);
         co_return attempt_result{
             execution_state::not_run, end, true,
-            absl::UnavailableError(core::concat(
-                "status ", code, body.ok() ? "" : ", cut"))};
+            absl::UnavailableError(
+                core::concat("status ", code, body.ok() ? "" : ", cut"))};
     }
     if (promises_not_run(code) && not_run_value.empty())
     {
--- a/Libraries/LibRelay/upstream_attempt.hpp
+++ b/Libraries/LibRelay/upstream_attempt.hpp
@@ -76,6 +76,12 @@
         call_.cancel();
     }
 
+    /// False while there is no connection to the target.
+    bool was_sent() const
+    {
+        return call_.stage() != http::call_stage::connecting;
+    }
+
     /// The VM that forwards the call; empty for a direct call.
     const std::string& via_vm() const
     {
--- a/Libraries/LibRouting/backlog_router.cpp
+++ b/Libraries/LibRouting/backlog_router.cpp
@@ -303,10 +303,6 @@
     {
         prefer_agreed_upstreams(options, view, request);
     }
-    const auto usable =
-        std::count_if(options.begin(), options.end(), [](const option& it) {
-            return !it.fallback;
-        });
     const auto* local = best_of(options, true, false);
     const double draw =
         prefix_id == 0
@@ -381,9 +377,7 @@
         out.retry_after = retry_after(request);
         return out;
     }
-    out = commit(*best, request, reason, now);
-    out.chosen->has_alternative = usable > (best->fallback ? 0 : 1);
-    return out;
+    return commit(*best, request, reason, now);
 }
 
 core::duration
--- a/Libraries/LibRouting/backlog_router.hpp
+++ b/Libraries/LibRouting/backlog_router.hpp
@@ -84,7 +84,6 @@
     std::string region;
     bool local = true;
     placement_reason reason = placement_reason::shortest_wait;
-    bool has_alternative = false; ///< Another upstream could take the call.
 };
 
 struct placement_result
