LibRelay, Services: End the phases of a planned stop on time

What callers saw: nothing was reported for certain; a stream that an entry VM accepts more than 3 s after SIGTERM and that runs for over 4.4 s is cut when the process ends at 7.6 s.

Cause: the phases advanced in a loop with a step of 250 ms.

Change: the loop sleeps until the next phase at most, and the accepting phase is 100 ms shorter, for a timer that is late.

Evidence: "a VM that leaves ends its phases on time" states the times; it uses a function that is new, so it could not run before.

--- a/Libraries/LibRelay/leave_sequence.cpp
+++ b/Libraries/LibRelay/leave_sequence.cpp
@@ -2,6 +2,8 @@
 
 #include <LibRelay/leave_sequence.hpp>
 
+#include <algorithm>
+
 namespace hyssoploft::relay {
 
 void leave_sequence::begin(core::time_point now)
@@ -41,4 +43,17 @@
     return phase_;
 }
 
+core::duration leave_sequence::time_to_next_phase(
+    core::time_point now, core::duration limit) const
+{
+    if (phase_ == leave_phase::serving || phase_ == leave_phase::stopped)
+    {
+        return limit;
+    }
+    const auto end =
+        began_ + (phase_ == leave_phase::accepting ? settings_.accept_for
+                                                   : settings_.stop_after);
+    return std::clamp(end - now, core::duration::zero(), limit);
+}
+
 } // namespace hyssoploft::relay
--- a/Libraries/LibRelay/leave_sequence.hpp
+++ b/Libraries/LibRelay/leave_sequence.hpp
@@ -50,6 +50,10 @@
     /// `open_requests`: those read and not answered, in whatever state.
     leave_phase update(std::size_t open_requests, core::time_point now);
 
+    /// Time until the next phase begins at a set time; at most `limit`.
+    core::duration
+    time_to_next_phase(core::time_point now, core::duration limit) const;
+
     leave_phase phase() const
     {
         return phase_;
--- a/Services/hyssoploft/fleet_process.cpp
+++ b/Services/hyssoploft/fleet_process.cpp
@@ -30,8 +30,9 @@
 constexpr std::chrono::milliseconds traffic_interval{200};
 /// New requests are still taken for this time after SIGTERM, until callers
 /// have learned of other VMs: the time to live of the directory's answers and
-/// an exchange of state.
-constexpr std::chrono::milliseconds accept_while_leaving{3000};
+/// an exchange of state. A stream that comes later than 3 s may not end within
+/// the time that the platform gives, so a late timer has 100 ms.
+constexpr std::chrono::milliseconds accept_while_leaving{2900};
 /// Covers a request that was on its way when callers learned of other VMs.
 constexpr std::chrono::milliseconds quiet_before_stop{250};
 /// Kept free at the end of the time that the platform gives.
@@ -312,7 +313,8 @@
 
 void fleet_process::schedule()
 {
-    timer_.expires_after(step_interval);
+    timer_.expires_after(
+        leave_->time_to_next_phase(clock_->now(), step_interval));
     timer_.async_wait([this](const boost::system::error_code& ec) {
         if (ec)
         {
--- a/Tests/LibRelay/planned_stop.cpp
+++ b/Tests/LibRelay/planned_stop.cpp
@@ -69,6 +69,25 @@
     }
 }
 
+// Failure: a phase ended at the next step of the control loop, up to 250 ms
+// late, and a stream that was accepted in this time was cut at the stop.
+TEST_CASE("a VM that leaves ends its phases on time")
+{
+    const core::time_point start{100s};
+    const core::duration step = 250ms;
+    relay::leave_sequence it({2900ms, 250ms, 7600ms});
+    CHECK_EQ(it.time_to_next_phase(start, step), step);
+    it.begin(start);
+    CHECK_EQ(it.time_to_next_phase(start, step), step);
+    CHECK_EQ(it.time_to_next_phase(start + 2850ms, step), 50ms);
+    CHECK_EQ(it.time_to_next_phase(start + 2950ms, step), 0ms);
+    CHECK(it.update(1, start + 2900ms) == leave_phase::refusing);
+    CHECK_EQ(it.time_to_next_phase(start + 3000ms, step), step);
+    CHECK_EQ(it.time_to_next_phase(start + 7500ms, step), 100ms);
+    CHECK(it.update(1, start + 7600ms) == leave_phase::stopped);
+    CHECK_EQ(it.time_to_next_phase(start + 7600ms, step), step);
+}
+
 TEST_CASE("requests count as open from their reading to their answer")
 {
     relay_fixture it;
