LibFleet, LibRelay, LibControl: Quarantine prompt parts that crash engines

Cause: a broken call counted against its engine only. No VM knew that the calls under which engines broke off had a prompt part in common, so each next request with it crashed the next engine.

Change: crash_suspects is a table of parts and of the upstreams that broke off before they had generated more than one event for a prompt with them. VMs report to the control VMs, which tell each other and their region's entry VMs; rows are sets with ages, so that any order of merging agrees. Three crashes at different moments without an answer quarantine a part for 10 s, twice as long with each further crash; after that one VM tries it with single requests. An answer voids the crashes, and parts that were answered lately are not blamed. The last part of a prompt never counts. prompt_guard refuses quarantined prompts with 503 (not run, Retry-After), before they take credit, before each attempt and next to the send; a prompt under which engines crashed before is not repeated.

--- a/Libraries/LibControl/fleet_control.cpp
+++ b/Libraries/LibControl/fleet_control.cpp
@@ -219,6 +219,7 @@
     }
     proposals_->tick();
     sync_peers();
+    update_suspects();
     if (now >= next_view_rebuild_ || view_changed_ || sums_are_outdated(now))
     {
         next_view_rebuild_ = now + view_rebuild_interval;
@@ -258,6 +259,9 @@
     case message_type::load_notice:
         on_load_notice(it);
         return;
+    case message_type::suspect_notice:
+        on_suspect_notice(it);
+        return;
     case message_type::loan_request:
         serve_loan(it);
         return;
--- a/Libraries/LibControl/fleet_control.hpp
+++ b/Libraries/LibControl/fleet_control.hpp
@@ -64,6 +64,7 @@
 };
 
 class fleet_control final : public fleet::traffic_source,
+                            public fleet::suspect_sink,
                             public rate::credit_lender,
                             public replica_environment,
                             public fleet_source
@@ -111,6 +112,12 @@
     /// Sets the load of this VM that the next reports carry.
     void set_loads(std::vector<fleet::load_row> loads) override;
 
+    // suspect_sink
+    void report_crash(
+        std::uint64_t upstream, std::vector<std::uint64_t> parts,
+        core::time_point at) override;
+    void report_answer(std::uint64_t part, core::time_point at) override;
+
     /// Requests credit of an account from the grantors.
     void borrow(
         const std::string& account, double tokens, loan_handler done) override;
@@ -201,6 +208,13 @@
     /// The sender of the published sums fell silent.
     bool sums_are_outdated(core::time_point now) const;
 
+    // Prompt parts under which upstreams crashed (fleet_control_suspects.cpp).
+    void on_suspect_notice(const wire::incoming_message& it);
+    void update_suspects();
+    void publish_suspects();
+    void send_suspects(core::time_point now);
+    std::vector<std::string> suspect_recipients() const;
+
     // Account credit (fleet_control_credit.cpp).
     struct pending_loan;
     std::uint32_t update_grantor_count(core::time_point now);
@@ -259,6 +273,16 @@
     /// Recent numbers of voters, and when each was last current.
     std::map<std::uint32_t, core::time_point> recent_voter_counts_;
 
+    fleet::crash_suspects suspects_;     // What this VM knows.
+    fleet::crash_suspects own_suspects_; // What it observed itself.
+    bool suspects_changed_ = false;      // Since publish_suspects().
+    std::uint64_t sent_suspect_change_ = 0;
+    core::time_point next_suspect_notice_{};
+    core::time_point next_suspect_refresh_{};
+    /// Never null.
+    std::shared_ptr<const fleet::suspect_parts> suspect_states_ =
+        std::make_shared<fleet::suspect_parts>();
+
     std::vector<std::string> seeds_;         // VMs.
     std::map<std::string, sync_peer> peers_; // By VM.
     fleet::view_merger merger_;
--- a/Libraries/LibControl/fleet_control_view.cpp
+++ b/Libraries/LibControl/fleet_control_view.cpp
@@ -104,6 +104,7 @@
     out->routes = routes_;
     out->evacuated = evacuated_;
     fill_loads(*out, now);
+    out->suspects = suspect_states_;
     out->built = now;
     out->entry_vms = std::max<std::uint32_t>(
         1, static_cast<std::uint32_t>(recent_entry_vms_.size()));
--- a/Libraries/LibFleet/traffic_view.hpp
+++ b/Libraries/LibFleet/traffic_view.hpp
@@ -5,6 +5,7 @@
 // provides it.
 
 #include <LibCore/time.hpp>
+#include <LibFleet/crash_suspects.hpp>
 #include <LibFleet/fleet_messages.hpp>
 #include <LibManifest/route_table.hpp>
 #include <LibMembership/fleet_view.hpp>
@@ -34,6 +35,8 @@
     std::set<std::string> evacuated;          ///< Data centres.
     std::map<std::string, remote_load> loads; ///< By upstream.
     core::time_point loads_received_at{}; ///< When `loads` were last received.
+    /// Prompt parts under which upstreams crashed; null: none.
+    std::shared_ptr<const suspect_parts> suspects;
     core::time_point built{};
     /// Number of recently seen entry VMs, at least 1. Includes silent ones, as
     /// they may still use their part of fleet-wide budgets.
@@ -67,6 +70,23 @@
     virtual void set_loads(std::vector<load_row> loads) = 0;
 };
 
+/// Receives what traffic threads observe about prompt parts. Thread-safe;
+/// returns immediately.
+class suspect_sink
+{
+public:
+    virtual ~suspect_sink() = default;
+
+    /// An upstream broke off before it had generated more than one event.
+    /// `upstream` is its hash_upstream().
+    virtual void report_crash(
+        std::uint64_t upstream, std::vector<std::uint64_t> parts,
+        core::time_point at) = 0;
+
+    /// A part among traffic_view::suspects was answered.
+    virtual void report_answer(std::uint64_t part, core::time_point at) = 0;
+};
+
 } // namespace hyssoploft::fleet
 
 #endif
--- a/Libraries/LibGateway/refusal.cpp
+++ b/Libraries/LibGateway/refusal.cpp
@@ -43,6 +43,8 @@
         reason::deadline_too_near, "deadline_too_near", 503, not_run::yes},
     refusal_rule{reason::shutting_down, "shutting_down", 503, not_run::yes},
     refusal_rule{reason::no_upstream, "no_upstream", 503, not_run::yes},
+    refusal_rule{
+        reason::prompt_quarantined, "prompt_quarantined", 503, not_run::yes},
     refusal_rule{reason::upstreams_busy, "upstreams_busy", 503, not_run::yes},
     refusal_rule{
         reason::link_budget_exhausted, "link_budget_exhausted", 503,
--- a/Libraries/LibGateway/refusal.hpp
+++ b/Libraries/LibGateway/refusal.hpp
@@ -46,6 +46,7 @@
     deadline_too_near,
     shutting_down,
     no_upstream,
+    prompt_quarantined,
     upstreams_busy,
     link_budget_exhausted,
     upstream_failed,
--- a/Libraries/LibRelay/relay_handler.cpp
+++ b/Libraries/LibRelay/relay_handler.cpp
@@ -238,6 +238,20 @@
     co_return std::nullopt;
 }
 
+std::optional<refusal>
+entry_handler::check_prompt(const request_terms& terms) const
+{
+    if (!terms.is_engine)
+    {
+        return std::nullopt;
+    }
+    const auto decision = services_->guard.check(
+        *services_->source->view(), terms.head.parts, terms.arrived);
+    return decision.verdict == prompt_verdict::quarantined
+               ? std::optional(refuse_prompt(decision))
+               : std::nullopt;
+}
+
 http::asio::awaitable<void> entry_handler::handle(http::exchange& it)
 {
     auto accepted = admit(it);
@@ -248,7 +262,12 @@
     }
     else
     {
-        refused = co_await reserve_rate(std::get<request_terms>(accepted), it);
+        auto& terms = std::get<request_terms>(accepted);
+        refused = check_prompt(terms);
+        if (!refused)
+        {
+            refused = co_await reserve_rate(terms, it);
+        }
     }
     if (refused)
     {
--- a/Libraries/LibRelay/relay_handler.hpp
+++ b/Libraries/LibRelay/relay_handler.hpp
@@ -28,6 +28,10 @@
     std::variant<request_terms, gateway::refusal>
     admit(const http::exchange& it);
 
+    /// Refuses a quarantined prompt before it takes credit.
+    std::optional<gateway::refusal>
+    check_prompt(const request_terms& terms) const;
+
     /// Charges the request's tokens to the account's credit at this VM and
     /// borrows missing tokens from other VMs.
     http::asio::awaitable<std::optional<gateway::refusal>>
--- a/Libraries/LibRelay/relay_run.cpp
+++ b/Libraries/LibRelay/relay_run.cpp
@@ -119,9 +119,17 @@
         }
         co_await wait_for_current_view();
         const auto view = services_.source->view();
-        if (auto refused = check_admission(*view))
+        auto refused = check_admission(*view);
+        if (refused)
         {
             detail_ = "manifest_changed";
+        }
+        else
+        {
+            refused = check_prompt(*view);
+        }
+        if (refused)
+        {
             // What may have run must not hear that it has not.
             if (attempt_counts_.executions > 0)
             {
@@ -220,10 +228,59 @@
     terms.rate_tokens = terms_.rate_tokens;
     terms.borrowed_tokens = terms_.borrowed_tokens;
     terms.reserved = std::move(terms_.reserved);
+    terms.is_trial = terms_.is_trial;
     terms_ = std::move(terms);
     return std::nullopt;
 }
 
+std::optional<gateway::refusal>
+relay_run::check_prompt(const fleet::traffic_view& view)
+{
+    if (!terms_.is_engine || terms_.is_trial)
+    {
+        return std::nullopt;
+    }
+    const auto now = services_.clock->now();
+    const auto decision = services_.guard.check(view, terms_.head.parts, now);
+    if (decision.verdict == prompt_verdict::quarantined)
+    {
+        return refuse_prompt(decision);
+    }
+    if (decision.verdict == prompt_verdict::trial)
+    {
+        services_.guard.start_trial(decision.part, now);
+        terms_.is_trial = true;
+    }
+    return std::nullopt;
+}
+
+void relay_run::record_prompt_answer()
+{
+    if (terms_.is_engine)
+    {
+        services_.guard.record_answer(
+            *services_.source->view(), terms_.head.parts,
+            services_.clock->now(), *services_.suspects);
+    }
+}
+
+void relay_run::record_prompt_crash()
+{
+    if (!terms_.is_engine || caller_.caller_gone())
+    {
+        return;
+    }
+    is_suspect_ = services_.guard.is_suspect(
+        *services_.source->view(), terms_.head.parts);
+    // A VM of another region reports the upstream that it has called.
+    if (current_target_->local)
+    {
+        services_.guard.record_crash(
+            current_target_->upstream, current_incarnation_, terms_.head.parts,
+            services_.clock->now(), *services_.suspects);
+    }
+}
+
 // After a pause of the process, evacuations and manifests may have changed that
 // the other processes act on already.
 http::asio::awaitable<void> relay_run::wait_for_current_view()
@@ -261,8 +318,13 @@
 bool relay_run::should_rerun()
 {
     // A reservation was charged to the budget.
-    return reserved_ ||
-           (may_rerun() && time_left() > min_time_left && take_retry());
+    if (reserved_)
+    {
+        return true;
+    }
+    // What may have crashed another engine before is not sent to a second one.
+    return !is_suspect_ && may_rerun() && time_left() > min_time_left &&
+           take_retry();
 }
 
 routing::placement_result relay_run::choose_placement(
@@ -395,6 +457,9 @@
     upstream_attempt call(services_, terms_, caller_.pool());
     current_attempt_ = &call;
     current_target_ = &target;
+    const auto found = view.fleet->upstreams.find(target.upstream);
+    current_incarnation_ =
+        found == view.fleet->upstreams.end() ? 0 : found->second.incarnation;
     first_event_deadline_ = services_.clock->now() + first_answer_patience();
     watch_silence(first_event_deadline_);
     awaits_head_ = true;
@@ -415,7 +480,6 @@
     if (result.execution != execution_state::answered)
     {
         stop_silence_watch();
-        current_attempt_ = nullptr;
         last_end_ = reserved_ ? placement_outcome::broken : result.end;
         attempts_text_ += core::concat(
             ":", core::name_of(execution_state_names, result.execution));
@@ -423,6 +487,14 @@
         {
             record_break(result.status);
         }
+        const bool has_broken_off =
+            result.was_sent && result.end == placement_outcome::broken &&
+            !reserved_ && !absl::IsDeadlineExceeded(result.status);
+        if (has_broken_off)
+        {
+            record_prompt_crash();
+        }
+        current_attempt_ = nullptr;
         co_return after_failure(result, target);
     }
     const auto next = call.parsed_answer().is_stream
@@ -488,12 +560,21 @@
             outcome_ = "caller_gone";
             co_return next_step::done;
         }
+        if (last_end_ == placement_outcome::broken && !reserved_ &&
+            !absl::IsDeadlineExceeded(body.status()))
+        {
+            record_prompt_crash();
+        }
         co_return should_rerun() ? next_step::retry : next_step::give_up;
     }
     http::response answer(from.head().result(), 11);
     services_.codec->copy_answer_headers(from.head(), answer.base());
     answer.body() = *std::move(body);
     const bool failed = answer.result_int() >= 500;
+    if (!failed)
+    {
+        record_prompt_answer();
+    }
     last_end_ =
         failed ? placement_outcome::errored : placement_outcome::completed;
     if (failed && should_rerun())
@@ -525,6 +606,8 @@
     // one.
     auto silence_deadline = first_event_deadline_;
     std::string held; // Comments before the first event.
+    const auto events_at_start = framer_.event_count();
+    bool is_answered = false; // As the prompt guard sees it.
     for (;;)
     {
         const auto events_before = framer_.event_count();
@@ -550,8 +633,19 @@
                 outcome_ = "caller_gone";
                 co_return next_step::done;
             }
+            if (!is_answered && last_end_ == placement_outcome::broken &&
+                !reserved_ && !absl::IsDeadlineExceeded(events.status()))
+            {
+                record_prompt_crash();
+            }
             co_return should_rerun() ? next_step::retry : next_step::give_up;
         }
+        if (!is_answered &&
+            (ended || framer_.event_count() - events_at_start > 1))
+        {
+            is_answered = true;
+            record_prompt_answer();
+        }
         const bool has_progress = framer_.event_count() > events_before;
         if (!caller_.answer_started() && !ended && !has_progress)
         {
--- a/Libraries/LibRelay/relay_run.hpp
+++ b/Libraries/LibRelay/relay_run.hpp
@@ -77,6 +77,11 @@
     std::optional<gateway::refusal>
     check_admission(const fleet::traffic_view& view);
     http::asio::awaitable<void> wait_for_current_view();
+    /// The refusal of a prompt with a quarantined part. Starts a trial.
+    std::optional<gateway::refusal>
+    check_prompt(const fleet::traffic_view& view);
+    void record_prompt_answer();
+    void record_prompt_crash();
     bool take_retry();
     /// Whether the request may run once more, after the current attempt.
     bool may_rerun() const;
@@ -127,6 +132,9 @@
     std::string outcome_;        // For the log.
     std::string_view detail_;    // Why no upstream was chosen; static string.
     std::string attempts_text_;  // Upstreams and results of attempts.
+    std::uint64_t current_incarnation_ = 0; // Of the target; 0: unknown.
+    /// An engine crashed under the prompt, and others had before.
+    bool is_suspect_ = false;
 };
 
 } // namespace hyssoploft::relay
--- a/Libraries/LibRelay/relay_services.hpp
+++ b/Libraries/LibRelay/relay_services.hpp
@@ -11,6 +11,7 @@
 #include <LibRate/credit_lender.hpp>
 #include <LibRate/rate_limiter.hpp>
 #include <LibRelay/call_codec.hpp>
+#include <LibRelay/prompt_guard.hpp>
 #include <LibRelay/request_log.hpp>
 #include <LibRetry/attempt_budget.hpp>
 #include <LibRouting/backlog_router.hpp>
@@ -42,12 +43,14 @@
     std::shared_ptr<fleet::traffic_source> source;
     std::shared_ptr<const call_codec> codec;
     std::shared_ptr<rate::rate_limiter> rates;
-    std::shared_ptr<rate::credit_lender> lender; ///< May be null.
+    std::shared_ptr<rate::credit_lender> lender;   ///< May be null.
+    std::shared_ptr<fleet::suspect_sink> suspects; ///< Never null.
     std::shared_ptr<core::clock> clock;
     core::random_source* random = nullptr; ///< Outlives the services.
     telemetry::metrics* metrics = nullptr; ///< Outlives the services.
     std::unique_ptr<routing::backlog_router> router;
     std::map<std::string, retry::attempt_budget> retry_budgets; ///< By role.
+    prompt_guard guard;
     request_log log;
     /// Set by the shutdown thread.
     std::atomic<bool> is_draining{false};
@@ -83,6 +86,8 @@
     std::uint32_t urgency = 0;
     std::uint32_t max_executions = 1; ///< Limit on upstreams that may run it.
     std::set<std::string> allowed_regions; ///< Empty: all.
+    /// Sent although a part of its prompt is quarantined.
+    bool is_trial = false;
     bool relayed = false; ///< Forwarded by another VM; stays in this region.
     std::uint64_t manifest_version = 0; ///< That admitted it, unless relayed.
     call_head head;
--- a/Libraries/LibRelay/upstream_attempt.cpp
+++ b/Libraries/LibRelay/upstream_attempt.cpp
@@ -78,6 +78,14 @@
     {
         return absl::UnavailableError("admitted under an older manifest");
     }
+    const bool is_quarantined =
+        terms_.is_engine && !terms_.is_trial &&
+        services_.guard.check(*view, terms_.head.parts, services_.clock->now())
+                .verdict != prompt_verdict::allowed;
+    if (is_quarantined)
+    {
+        return absl::UnavailableError("a part of the prompt is quarantined");
+    }
     if (!target.local)
     {
         return absl::OkStatus();
--- a/Services/hyssoploft/fleet_process.cpp
+++ b/Services/hyssoploft/fleet_process.cpp
@@ -195,6 +195,7 @@
     relay_->codec = std::make_shared<platform::call_headers>();
     relay_->rates = control_->rates();
     relay_->lender = control_;
+    relay_->suspects = control_;
     relay_->clock = clock_;
     relay_->random = &traffic_random_;
     relay_->metrics = &metrics_;
@@ -344,6 +345,7 @@
         {
             next_traffic_tick_ = now + traffic_interval;
             relay_->router->remove_stale_state(*control_->view(), now);
+            relay_->guard.report_answers(*control_->view(), now, *control_);
             relay_->log.flush();
         }
         schedule_traffic();
--- a/Tests/LibRelay/relay_fixture.cpp
+++ b/Tests/LibRelay/relay_fixture.cpp
@@ -18,6 +18,23 @@
 namespace {
 
 constexpr const char* role_name = "service";
+constexpr const char* engine_role_name = "engine";
+constexpr std::uint32_t tokens_per_part = 100;
+
+std::vector<routing::prompt_part> parse_parts(std::string_view text)
+{
+    std::vector<routing::prompt_part> out;
+    while (!text.empty())
+    {
+        const auto comma = std::min(text.size(), text.find(','));
+        routing::prompt_part it;
+        it.tokens = tokens_per_part;
+        (void)std::from_chars(text.data(), text.data() + comma, it.id);
+        out.push_back(it);
+        text.remove_prefix(std::min(text.size(), comma + 1));
+    }
+    return out;
+}
 
 } // namespace
 
@@ -42,6 +59,36 @@
     view_ = std::move(view);
 }
 
+void local_suspects::report_crash(
+    std::uint64_t upstream, std::vector<std::uint64_t> parts,
+    core::time_point at)
+{
+    const std::lock_guard lock(mutex_);
+    for (const auto part : parts)
+    {
+        (void)table_.record_crash(part, upstream, at);
+    }
+    crashes_.push_back(std::move(parts));
+    source_.change([&](auto& view, auto&) {
+        view.suspects = std::make_shared<fleet::suspect_parts>(table_.states());
+    });
+}
+
+void local_suspects::report_answer(std::uint64_t part, core::time_point at)
+{
+    const std::lock_guard lock(mutex_);
+    (void)table_.record_answer(part, at);
+    source_.change([&](auto& view, auto&) {
+        view.suspects = std::make_shared<fleet::suspect_parts>(table_.states());
+    });
+}
+
+std::vector<std::vector<std::uint64_t>> local_suspects::crashes() const
+{
+    const std::lock_guard lock(mutex_);
+    return crashes_;
+}
+
 relay::call_head fake_codec::read_call(const http::request& it) const
 {
     relay::call_head out;
@@ -57,6 +104,10 @@
     {
         out.deadline = std::chrono::milliseconds(ms);
     }
+    out.parts = parse_parts(http::header_value(it, "x-parts"));
+    out.has_token_count = !out.parts.empty();
+    out.prompt_tokens =
+        static_cast<std::uint32_t>(out.parts.size()) * tokens_per_part;
     return out;
 }
 
@@ -169,6 +220,7 @@
     services->codec = codec;
     services->rates = limiter;
     services->clock = clock;
+    services->suspects = suspects;
     services->random = &random_;
     services->metrics = &metrics;
     services->router = std::make_unique<routing::backlog_router>(
@@ -193,6 +245,10 @@
     manifest::upstream_role role;
     role.name = role_name;
     declared.roles.push_back(role);
+    role.name = engine_role_name;
+    role.is_engine = true;
+    role.engine.memory_tokens = 100'000;
+    declared.roles.push_back(role);
     const auto add = [&](const char* prefix, manifest::repeat_kind repeat,
                          std::uint32_t max_attempts) {
         manifest::traffic_route route;
@@ -211,6 +267,8 @@
     add("/stream/", manifest::repeat_kind::streamed, 1);
     add("/resume/", manifest::repeat_kind::resumable_stream, 2);
     add("/read/", manifest::repeat_kind::idempotent, 2);
+    add("/generate/", manifest::repeat_kind::resumable_stream, 2);
+    declared.routes.back().roles = {{engine_role_name, 1}};
     source->change([&](auto& view, auto& fleet) {
         view.routes = std::make_shared<manifest::route_table>(declared);
         view.built = core::time_point::max();
@@ -232,6 +290,15 @@
     });
 }
 
+void relay_fixture::add_engine(const std::string& id, const std::string& at)
+{
+    add_upstream(id, at);
+    source->change([&](auto&, auto& fleet) {
+        fleet.upstreams[id].role = engine_role_name;
+        fleet.upstreams[id].incarnation = 1;
+    });
+}
+
 void relay_fixture::set_rate(double tokens_per_second)
 {
     source->change([&](auto& view, auto&) {
--- a/Tests/LibRelay/relay_fixture.hpp
+++ b/Tests/LibRelay/relay_fixture.hpp
@@ -43,8 +43,30 @@
     std::shared_ptr<const fleet::traffic_view> view_;
 };
 
+/// Keeps a table like the control thread of a fleet with one VM, and publishes
+/// it. Thread safe.
+class local_suspects final : public fleet::suspect_sink
+{
+public:
+    explicit local_suspects(fake_traffic_source& source) : source_(source) {}
+
+    void report_crash(
+        std::uint64_t upstream, std::vector<std::uint64_t> parts,
+        core::time_point at) override;
+    void report_answer(std::uint64_t part, core::time_point at) override;
+
+    /// The parts of each report, in order.
+    std::vector<std::vector<std::uint64_t>> crashes() const;
+
+private:
+    fake_traffic_source& source_;
+    mutable std::mutex mutex_; // Guards the members below.
+    fleet::crash_suspects table_;
+    std::vector<std::vector<std::uint64_t>> crashes_;
+};
+
 /// Headers of the tests: x-request-id, x-key, x-deadline-ms, last-event-id,
-/// x-not-run, x-signature.
+/// x-not-run, x-signature, x-parts (identifiers of parts of 100 tokens).
 class fake_codec final : public relay::call_codec
 {
 public:
@@ -123,6 +145,9 @@
     /// Requires the key "k" of an account with a rate.
     void set_rate(double tokens_per_second);
 
+    /// The same for the route of engines.
+    void add_engine(const std::string& id, const std::string& at);
+
     /// Makes other upstreams preferable to this one.
     void set_busy(const std::string& id);
 
@@ -137,6 +162,8 @@
     std::shared_ptr<skipping_clock> clock = std::make_shared<skipping_clock>();
     std::shared_ptr<fake_traffic_source> source =
         std::make_shared<fake_traffic_source>();
+    std::shared_ptr<local_suspects> suspects =
+        std::make_shared<local_suspects>(*source);
     std::shared_ptr<fake_codec> codec = std::make_shared<fake_codec>();
     std::shared_ptr<generous_limiter> limiter =
         std::make_shared<generous_limiter>();
@@ -155,7 +182,8 @@
 /// Requests of the routes below; `headers` are complete header lines.
 /// "/order/": at most once; "/stream/": a stream, at most once; "/resume/": a
 /// stream that may resume at a second upstream; "/read/": idempotent, at two
-/// upstreams. Latency target 400 ms, pause target 100 ms, timeout 3 s.
+/// upstreams; "/generate/": a stream of an engine that may resume at a second
+/// one. Latency target 400 ms, pause target 100 ms, timeout 3 s.
 std::string relay_request(
     std::string_view path, std::string_view id, std::string_view headers = {});
 
