Tests: Reset connections where the script of an upstream says so

Cause: scripted_upstream set the socket to linger for no time and left closing it to its destructor, which turns lingering off again. The scripted resets were ordinary ends of the connection, so that no test saw a reset of an answer that ends with its connection.

Change: the socket is closed where the reset is meant. test_caller can read raw bytes up to the end of the connection.

--- a/Tests/Support/scripted_upstream.cpp
+++ b/Tests/Support/scripted_upstream.cpp
@@ -147,6 +147,10 @@
         if (next.then == after_reply::reset)
         {
             socket.set_option(asio::socket_base::linger(true, 0), ec);
+            // NOTE: The destructor of a socket turns lingering off again, so
+            // that the connection would end without a reset.
+            socket.close(ec);
+            co_return;
         }
         if (next.then != after_reply::keep || ec)
         {
--- a/Tests/Support/test_caller.cpp
+++ b/Tests/Support/test_caller.cpp
@@ -5,6 +5,7 @@
 #include <LibCore/text.hpp>
 #include <LibHttp/connection_pool.hpp>
 
+#include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/read.hpp>
 
@@ -56,6 +57,14 @@
     return out;
 }
 
+std::string test_caller::read_bytes()
+{
+    std::string out;
+    http::error_code ec;
+    asio::read(socket_, asio::dynamic_buffer(out), ec);
+    return out;
+}
+
 void test_caller::leave()
 {
     http::error_code ec;
--- a/Tests/Support/test_caller.hpp
+++ b/Tests/Support/test_caller.hpp
@@ -35,6 +35,8 @@
     /// Reads until the body has `text`; false at the end of the answer.
     bool read_until(const std::string& text);
     answer read();
+    /// All bytes until the connection ends.
+    std::string read_bytes();
     /// Resets the connection.
     void leave();
 
