LibRelay: Don't put another answer into a stream that has begun

What callers saw: a stream broke off, and after its first events came the head and the text of the next upstream's error, on a connection that stayed open.

Cause: an attempt whose answer was no stream was forwarded as a whole answer, also where an earlier attempt had begun the caller's stream.

Change: such an answer ends the attempt as failed. The stream is resumed at another upstream if that is permitted, else it ends without its last chunk.

--- a/Libraries/LibRelay/relay_run.cpp
+++ b/Libraries/LibRelay/relay_run.cpp
@@ -497,9 +497,23 @@
         current_attempt_ = nullptr;
         co_return after_failure(result, target);
     }
-    const auto next = call.parsed_answer().is_stream
-                          ? co_await forward_events(call)
-                          : co_await forward_body(call);
+    auto next = next_step::give_up;
+    if (call.parsed_answer().is_stream)
+    {
+        next = co_await forward_events(call);
+    }
+    else if (caller_.answer_started())
+    {
+        // Only a stream goes on with a stream.
+        call.cancel();
+        attempts_text_ += ":no_stream";
+        last_end_ = placement_outcome::errored;
+        next = should_rerun() ? next_step::retry : next_step::give_up;
+    }
+    else
+    {
+        next = co_await forward_body(call);
+    }
     stop_silence_watch();
     current_attempt_ = nullptr;
     if (next == next_step::retry && call.via_vm().empty())
