--- a/Libraries/LibRelay/repeat_rules.hpp
+++ b/Libraries/LibRelay/repeat_rules.hpp
@@ -21,6 +21,9 @@
 /// Limit on attempts of a request, including those that did not run.
 inline constexpr std::uint32_t max_attempts_per_request = 4;
 
+/// Shortest remaining time for a call: a round trip and a short computation.
+inline constexpr std::chrono::milliseconds min_time_left{20};
+
 /// A sound upstream may send nothing for this time and go on, as during a pause
 /// of its process. A stream is not resumed elsewhere sooner.
 inline constexpr std::chrono::milliseconds max_sound_silence{2000};
--- a/Libraries/LibRelay/upstream_attempt.cpp
+++ b/Libraries/LibRelay/upstream_attempt.cpp
@@ -13,9 +13,6 @@
 
 /// Limit on skipped late answers to earlier calls on the same connection.
 constexpr int max_stale_answers = 2;
-/// A call with less time left is not sent: a round trip and a short
-/// computation take longer.
-constexpr std::chrono::milliseconds min_time_left{20};
 /// Bodies of refusals are short.
 constexpr std::size_t max_refusal_bytes = 64 * 1024;
 
