--- a/Libraries/LibHttp/server_session.cpp
+++ b/Libraries/LibHttp/server_session.cpp
@@ -180,6 +180,13 @@
         LOG(ERROR) << "request_failed error=\"" << error.what() << "\"";
         failed = true;
     }
+    if (failed && !it->answer_started() && !it->caller_gone())
+    {
+        // Says nothing about whether the request ran.
+        response answer(bhttp::status::bad_gateway, 11);
+        it->close_after();
+        (void)co_await it->respond(std::move(answer));
+    }
     it->on_caller_gone(nullptr);
     --load_->requests;
     // NOTE: Ends the wait of watch_caller() too, the only one outstanding.
--- a/Libraries/LibRelay/relay_handler.cpp
+++ b/Libraries/LibRelay/relay_handler.cpp
@@ -108,11 +108,6 @@
     out.head = services.codec->read_call(it.message());
     out.request_id = out.head.request_id;
     out.arrived = now;
-    if (services.is_draining)
-    {
-        return make_refusal(
-            refusal_reason::shutting_down, "this VM takes no new requests");
-    }
     if (!view->routes)
     {
         auto refused = make_refusal(
@@ -256,7 +251,13 @@
 {
     auto accepted = admit(it);
     auto refused = std::optional<refusal>();
-    if (const auto* immediate = std::get_if<refusal>(&accepted))
+    // Not for a request that is admitted again.
+    if (services_->is_draining)
+    {
+        refused = make_refusal(
+            refusal_reason::shutting_down, "this VM takes no new requests");
+    }
+    else if (const auto* immediate = std::get_if<refusal>(&accepted))
     {
         refused = *immediate;
     }
@@ -316,6 +317,7 @@
     terms.repeat = ticket->is_idempotent ? manifest::repeat_kind::idempotent
                                          : manifest::repeat_kind::at_most_once;
     terms.is_engine = ticket->is_engine;
+    terms.ignores_quarantine = ticket->ignores_quarantine;
     if (const auto* role = view->routes->find_role(terms.role))
     {
         terms.memory_tokens = role->engine.memory_tokens;
--- a/Libraries/LibRelay/relay_run.hpp
+++ b/Libraries/LibRelay/relay_run.hpp
@@ -72,6 +72,8 @@
     void start_silence_timer();
     void on_silence();
     bool reserve_repeat();
+    bool may_send_prompt(
+        const fleet::traffic_view& view, core::time_point now) const;
     void release_reservation();
     /// The refusal of a request that the manifest in force does not permit.
     std::optional<gateway::refusal>
@@ -116,13 +118,16 @@
         routing::placement_outcome::cancelled; // Of the last attempt.
     /// Time for the first event, or for all of an answer that may be asked
     /// for again.
+    core::time_point attempt_started_at_{};   // Of the current attempt.
     core::time_point first_event_deadline_{}; // Of the current attempt.
     http::asio::steady_timer silence_timer_;
-    bool is_silence_timer_running_ = false;
+    /// When the silence timer ends; no value: it does not run.
+    std::optional<core::time_point> silence_timer_due_;
+    std::uint64_t silence_timer_number_ = 0; // Tells older handlers apart.
     std::optional<core::time_point> silence_deadline_; // While it is watched.
-    /// For the next attempt, charged to the retry budget; made under the
-    /// manifest of terms_.
+    /// For the next attempt, charged to the retry budget.
     std::optional<routing::placement_result> reserved_;
+    std::uint64_t reserved_under_ = 0; // Version of the manifest.
     core::time_point first_event_at_{};
     core::time_point last_event_at_{};
     core::duration longest_pause_{};       // Between two events.
--- a/Libraries/LibRelay/relay_run_repeat.cpp
+++ b/Libraries/LibRelay/relay_run_repeat.cpp
@@ -23,6 +23,9 @@
 constexpr double pause_patience_factor = 2.0;
 /// Interval at which a repeat is tried again while the upstream stays silent.
 constexpr std::chrono::milliseconds silence_check_interval{200};
+/// Room in the retry budget for the repeat, and for one more if its upstream
+/// rejects it.
+constexpr std::uint32_t repeat_charges = 2;
 
 std::chrono::nanoseconds seconds_of(double seconds)
 {
@@ -76,8 +79,7 @@
 routing::placement_result relay_run::choose_placement(
     const fleet::traffic_view& view, core::time_point now)
 {
-    if (reserved_ && view.routes &&
-        view.routes->version() == terms_.manifest_version)
+    if (reserved_ && view.routes && view.routes->version() == reserved_under_)
     {
         return *std::exchange(reserved_, std::nullopt);
     }
@@ -112,20 +114,21 @@
 
 void relay_run::start_silence_timer()
 {
-    // A running timer finds out at its end whether the deadline has moved:
+    // A timer that ends earlier finds out then that the deadline has moved:
     // rescheduling it for each event costs a system call.
-    if (is_silence_timer_running_)
+    if (silence_timer_due_ && *silence_timer_due_ <= *silence_deadline_)
     {
         return;
     }
-    is_silence_timer_running_ = true;
+    silence_timer_due_ = silence_deadline_;
     silence_timer_.expires_after(*silence_deadline_ - services_.clock->now());
     silence_timer_.async_wait(
-        [weak = weak_from_this()](const http::error_code& ec) {
+        [weak = weak_from_this(),
+         number = ++silence_timer_number_](const http::error_code& ec) {
             const auto self = weak.lock();
-            if (!ec && self)
+            if (!ec && self && self->silence_timer_number_ == number)
             {
-                self->is_silence_timer_running_ = false;
+                self->silence_timer_due_.reset();
                 self->on_silence();
             }
         });
@@ -151,6 +154,15 @@
     start_silence_timer();
 }
 
+bool relay_run::may_send_prompt(
+    const fleet::traffic_view& view, core::time_point now) const
+{
+    return !terms_.is_engine || terms_.ignores_quarantine ||
+           framer_.event_count() > 1 ||
+           services_.guard.check(view, terms_.head.parts, now).verdict ==
+               prompt_verdict::allowed;
+}
+
 bool relay_run::reserve_repeat()
 {
     const auto now = services_.clock->now();
@@ -159,8 +171,9 @@
     // A call that is still connecting has a time limit of its own.
     const bool is_permitted =
         current_attempt_->was_sent() && may_rerun() &&
-        time_left() > min_time_left && !budget.is_exhausted(now) &&
-        !fleet::is_outdated(*view, now) && !check_admission(*view);
+        time_left() > min_time_left && budget.has_room(repeat_charges, now) &&
+        !fleet::is_outdated(*view, now) && !check_admission(*view) &&
+        may_send_prompt(*view, now);
     if (!is_permitted)
     {
         return false;
@@ -175,6 +188,7 @@
         request.excluded_regions.insert(current_target_->region);
     }
     reserved_ = services_.router->choose(*view, request, now);
+    reserved_under_ = terms_.manifest_version;
     const bool is_useful =
         reserved_->chosen &&
         reserved_->chosen->reason != routing::placement_reason::last_resort;
--- a/Libraries/LibRelay/repeat_rules.hpp
+++ b/Libraries/LibRelay/repeat_rules.hpp
@@ -51,17 +51,13 @@
            it.attempts < max_attempts_per_request;
 }
 
-/// How long a peer may acknowledge nothing before its call fails. A call that
-/// can be sent again fails early; another one waits until its deadline,
-/// `time_left` from now, as the peer may go on with it once it is heard again.
+/// How long a peer may acknowledge nothing before its call fails: until the
+/// call's deadline, `time_left` from now, as the peer may go on with it once it
+/// is heard again. A call that may be repeated is given up sooner by the run of
+/// its request, once the repeat is certain.
 constexpr std::chrono::milliseconds silence_timeout_for(
-    manifest::repeat_kind kind, std::uint32_t max_executions,
     std::chrono::milliseconds shortest, core::duration time_left)
 {
-    if (is_retryable(kind) && max_executions > 1)
-    {
-        return shortest;
-    }
     return std::max(
         shortest,
         std::chrono::duration_cast<std::chrono::milliseconds>(time_left));
--- a/Libraries/LibRetry/attempt_budget.cpp
+++ b/Libraries/LibRetry/attempt_budget.cpp
@@ -9,7 +9,7 @@
     ++current_bucket(now).requests;
 }
 
-bool attempt_budget::is_exhausted(core::time_point now) const
+bool attempt_budget::has_room(std::uint32_t n, core::time_point now) const
 {
     const std::int64_t oldest =
         slice_index(now) - static_cast<std::int64_t>(bucket_count) + 1;
@@ -23,7 +23,7 @@
             extra_attempts += it.extra_attempts;
         }
     }
-    return static_cast<double>(extra_attempts + 1) >
+    return static_cast<double>(extra_attempts + n) <=
            request_share_ * static_cast<double>(requests) + base_attempts_;
 }
 
--- a/Libraries/LibRetry/attempt_budget.hpp
+++ b/Libraries/LibRetry/attempt_budget.hpp
@@ -34,8 +34,14 @@
     /// budget of the window is used up.
     bool take(core::time_point now);
 
+    /// True if take() would succeed `n` times.
+    bool has_room(std::uint32_t n, core::time_point now) const;
+
     /// True if take() would return false.
-    bool is_exhausted(core::time_point now) const;
+    bool is_exhausted(core::time_point now) const
+    {
+        return !has_room(1, now);
+    }
 
 private:
     struct bucket
--- a/Tests/LibRelay/silent_upstreams.cpp
+++ b/Tests/LibRelay/silent_upstreams.cpp
@@ -85,7 +85,8 @@
 TEST_CASE("streams that the retry budget does not cover stay at their upstream")
 {
     relay_fixture it;
-    it.services->repeats = {0, 1, std::chrono::seconds(10)};
+    // A repeat needs room for a second one, if its upstream rejects it.
+    it.services->repeats = {0, 2, std::chrono::seconds(10)};
     scripted_upstream second(it.state);
     it.add_upstream("second", second.address());
     it.set_busy("second");
