--- a/Libraries/LibHttp/connection_pool.cpp
+++ b/Libraries/LibHttp/connection_pool.cpp
@@ -51,6 +51,11 @@
     {
         host = host.substr(1, host.size() - 2);
     }
+    // make_address() reads up to a NUL only.
+    if (host.find('\0') != std::string::npos)
+    {
+        return error;
+    }
     error_code ec;
     const auto ip = asio::ip::make_address(host, ec);
     std::uint16_t port = 0;
