Tests: Cover late copies of refusals with every status

Reported from other systems: a faulty worker wrote an earlier refusal once more on a kept connection, and clients were told "not run" of a request that a worker ran.

Result: it can't happen here for requests with identifiers of their own.

The scripted upstream sends bytes on connections that carried a request only.

--- a/Tests/LibRelay/late_answers.cpp
+++ b/Tests/LibRelay/late_answers.cpp
@@ -28,6 +28,11 @@
     return signed_answer(503, "busy", id, "x-not-run: 1\r\n");
 }
 
+std::string not_run(unsigned status, std::string_view id)
+{
+    return signed_answer(status, "busy", id, "x-not-run: 1\r\n");
+}
+
 // An answer that names no call.
 std::string anonymous(unsigned status, std::string_view headers)
 {
@@ -108,3 +113,116 @@
         });
     }
 }
+
+// Guards against a promise that a request has not run, made of the refusal of
+// another one, while the upstream runs the request.
+TEST_CASE("a late copy of a refusal never says that another call has not run")
+{
+    struct copy_case
+    {
+        const char* name;
+        std::string second;
+        std::vector<delayed_bytes> later;
+        after_reply then;
+        unsigned status; // Of the second call's answer.
+    };
+    const auto two = signed_answer(200, "two");
+    const std::string interim = "HTTP/1.1 102 Processing\r\n\r\n";
+    for (const unsigned status : {400U, 408U, 421U, 429U, 503U})
+    {
+        const auto copy = not_run(status, "{earlier_id}");
+        auto closing = copy;
+        closing.insert(closing.find("\r\n") + 2, "Connection: close\r\n");
+        const copy_case cases[] = {
+            {"before the answer", copy + two, {}, after_reply::hold, 200},
+            {"twice before the answer",
+             copy + copy + two,
+             {},
+             after_reply::hold,
+             200},
+            {"before the answer, with interim answers",
+             interim + copy + interim + two,
+             {},
+             after_reply::hold,
+             200},
+            {"in two pieces before the answer",
+             copy.substr(0, 40),
+             {{20ms, copy.substr(40)}, {20ms, two}},
+             after_reply::hold,
+             200},
+            {"after the answer", two + copy, {}, after_reply::hold, 200},
+            {"instead of the answer", copy, {}, after_reply::hold, 504},
+            {"and the end of the connection",
+             copy,
+             {},
+             after_reply::close,
+             502},
+            {"and a reset", copy, {}, after_reply::reset, 502},
+            {"which ends the connection", closing, {}, after_reply::hold, 502},
+            {"cut in its head",
+             copy.substr(0, 40),
+             {},
+             after_reply::close,
+             502},
+            {"cut in its body",
+             copy.substr(0, copy.size() - 2),
+             {},
+             after_reply::close,
+             502},
+            {"without identifier",
+             anonymous(status, "x-not-run: 1\r\n") + two,
+             {},
+             after_reply::hold,
+             502},
+            {"more than are skipped",
+             copy + copy + copy + two,
+             {},
+             after_reply::hold,
+             502},
+        };
+        for (const auto& row : cases)
+        {
+            CAPTURE(status);
+            CAPTURE(row.name);
+            relay_fixture it;
+            const std::string deadline = "x-deadline-ms: 400\r\n";
+            it.upstream.set_replies(
+                {{not_run(status, "{id}")}, {row.second, row.then, row.later}});
+            (void)it.call(relay_request("/order/1", "a"));
+            const auto got = it.call(relay_request("/order/2", "b", deadline));
+            CHECK_EQ(got.status, row.status);
+            if (row.status == 200)
+            {
+                CHECK_EQ(got.body, "two");
+            }
+            it.state.with([&] {
+                CHECK_EQ(it.upstream.connections, 1);
+                CHECK_EQ(it.upstream.received.size(), 2);
+            });
+        }
+    }
+}
+
+TEST_CASE("a refusal without an identifier counts on a new connection only")
+{
+    relay_fixture it;
+    const auto refusal = anonymous(503, "x-not-run: 1\r\n");
+    it.upstream.set_replies({{refusal}});
+    CHECK_EQ(it.call(relay_request("/order/1", "a")).status, 503);
+    CHECK_EQ(it.call(relay_request("/order/2", "b")).status, 502);
+}
+
+TEST_CASE("half a refusal on an idle connection ends its use")
+{
+    relay_fixture it;
+    const auto one = signed_answer(200, "one");
+    const auto copy = not_run("{id}");
+    it.upstream.set_replies(
+        {{one, after_reply::keep, {{20ms, copy.substr(0, 40)}}},
+         {signed_answer(200, "two"), after_reply::keep, {}, copy.substr(40)}});
+    CHECK_EQ(it.call(relay_request("/order/1", "a")).body, "one");
+    CHECK(it.state.wait([&] {
+        return it.upstream.replies_sent == 1;
+    }));
+    CHECK_EQ(it.call(relay_request("/order/2", "b")).body, "two");
+}
--- a/Tests/Support/scripted_upstream.cpp
+++ b/Tests/Support/scripted_upstream.cpp
@@ -81,7 +81,7 @@
     state_.with([&] {
         ++connections;
     });
-    for (;;)
+    for (bool is_reused = false;; is_reused = true)
     {
         bhttp::request_parser<bhttp::string_body> parser;
         co_await bhttp::async_read(
@@ -112,7 +112,8 @@
             return replace_all(
                 replace_all(text, "{id}", id), "{earlier_id}", earlier_id);
         };
-        const auto bytes = with_ids(next.bytes);
+        const auto bytes = with_ids(
+            is_reused ? core::concat(next.if_reused, next.bytes) : next.bytes);
         co_await asio::async_write(
             socket, asio::buffer(bytes),
             asio::redirect_error(asio::use_awaitable, ec));
--- a/Tests/Support/scripted_upstream.hpp
+++ b/Tests/Support/scripted_upstream.hpp
@@ -40,6 +40,8 @@
     std::string bytes;
     after_reply then = after_reply::keep;
     std::vector<delayed_bytes> later = {}; ///< Sent before `then`.
+    /// Sent before `bytes` on a connection that carried another request.
+    std::string if_reused = {};
 };
 
 class scripted_upstream
