platform: Refuse numbers out of range in documents and settings

Callers saw: nothing yet; the same class of fault as in heartbeats. A document with a number too large came into force with another value.

Cause: numbers were converted from double to 32 and 64 bits and to nanoseconds without a bound, which is undefined out of range: x86-64 and arm64 give different values, so VMs could differ on one document. Settings took .nan and .inf.

Deep nesting was refused before, in JSON (depth 32) and YAML; numbers in callers' headers were left out before. Both are covered now.

--- a/Tests/platform/call_headers.cpp
+++ b/Tests/platform/call_headers.cpp
@@ -159,3 +159,40 @@
     CHECK(out["Retry-After"] == "0.250");
     CHECK(out.find("Hyssoploft-Server-Stamp") == out.end());
 }
+
+// Guards against numbers of callers that end the process or change their value.
+TEST_CASE("numbers out of range in a caller's headers are left out")
+{
+    const platform::call_headers codec;
+    for (const std::string value :
+         {"1e400", "nan", "inf", "-1", "", "x", "1e300", "1 2", "0x10"})
+    {
+        CAPTURE(value);
+        auto it = caller_request();
+        it.set("Hyssoploft-Deadline-Ms", value);
+        const auto out = codec.read_call(it);
+        // The longest deadline that is not taken as a mistake is 1e9 ms.
+        CHECK(out.deadline.value_or(core::duration()).count() >= 0);
+        CHECK(
+            out.deadline.value_or(core::duration()) <=
+            std::chrono::seconds(1'000'000));
+    }
+    for (const std::string value :
+         {"4294967296,80", "1460,99999999999999999999", "-1,80", "1e3,80",
+          "1460", ",", "10000001,1"})
+    {
+        CAPTURE(value);
+        auto it = caller_request();
+        it.set("Hyssoploft-Token-Count", value);
+        CHECK_FALSE(codec.read_call(it).has_token_count);
+    }
+    for (const std::string value :
+         {"5c1e07a2:99999999999", "5c1e07a2:-1", "5c1e07a2:1e3",
+          "1ffffffffffffffff:800", "zz:800", ":", ":800", "5c1e07a2"})
+    {
+        CAPTURE(value);
+        auto it = caller_request();
+        it.set("Hyssoploft-Prompt-Prefix", value);
+        CHECK(codec.read_call(it).parts.empty());
+    }
+}
--- a/Tests/platform/manifest_document.cpp
+++ b/Tests/platform/manifest_document.cpp
@@ -94,3 +94,67 @@
             platform::manifest_document().decode(sound.substr(0, n)).ok());
     }
 }
+
+// Guards against numbers that change their value, or end the process, when they
+// are converted to narrower types.
+TEST_CASE("a document with numbers out of range is refused")
+{
+    const char* fields[] = {
+        "\"timeout-ms\":3000",
+        "\"target-latency-ms\":600",
+        "\"priority\":0",
+        "\"max-attempts\":2",
+        "\"gap-target-ms\":600",
+        "\"max-conns\":360",
+        "\"slots\":64",
+        "\"kv-capacity\":587510",
+        "\"stride\":8",
+        "\"max-header-bytes\":16384",
+        "\"idle-timeout-ms\":15000",
+        "\"rate-per-s\":1000",
+        "\"burst\":500",
+        "\"plain-tokens\":200"};
+    for (const std::string field : fields)
+    {
+        for (const std::string value :
+             {"1e400", "1e300", "-1", "-1e300", "18446744073709551615",
+              "99999999999999999999"})
+        {
+            CAPTURE(field);
+            CAPTURE(value);
+            auto odd = sound;
+            const auto at = odd.find(field);
+            REQUIRE_NE(at, std::string::npos);
+            odd.replace(
+                at, field.size(), field.substr(0, field.find(':') + 1) + value);
+            CHECK_FALSE(platform::manifest_document().decode(odd).ok());
+        }
+    }
+}
+
+TEST_CASE("a count above 32 bits is refused")
+{
+    for (const std::string field :
+         {"\"priority\":0", "\"max-attempts\":2", "\"max-conns\":360",
+          "\"slots\":64", "\"stride\":8"})
+    {
+        CAPTURE(field);
+        auto odd = sound;
+        odd.replace(
+            odd.find(field), field.size(),
+            field.substr(0, field.find(':') + 1) + "4294967296");
+        CHECK_FALSE(platform::manifest_document().decode(odd).ok());
+    }
+}
+
+TEST_CASE("a deeply nested document is refused")
+{
+    const std::string open(100'000, '[');
+    const std::string close(open.size(), ']');
+    for (const auto& value : {open, open + close})
+    {
+        auto odd = sound;
+        odd.insert(1, "\"x\":" + value + ",");
+        CHECK_FALSE(platform::manifest_document().decode(odd).ok());
+    }
+}
--- a/Tests/platform/vm_settings.cpp
+++ b/Tests/platform/vm_settings.cpp
@@ -84,3 +84,40 @@
     CHECK_FALSE(platform::parse_vm_settings("[1, 2]", "x").ok());
     CHECK_FALSE(platform::parse_vm_settings("a: [", "x").ok());
 }
+
+// Guards against numbers that change their value, or end the process, when they
+// are converted to narrower types.
+TEST_CASE("settings with numbers out of range are refused")
+{
+    struct number_case
+    {
+        std::string from;
+        std::string to;
+    };
+    const std::string deep(100'000, '[');
+    const number_case cases[] = {
+        {"7600", "99999"},
+        {"7615", "-1"},
+        {"machines: 2", "machines: -1"},
+        {"machines: 2", "machines: 18446744073709551615"},
+        {"budget-window-s: 10", "budget-window-s: 1e300"},
+        {"budget-window-s: 10", "budget-window-s: .inf"},
+        {"budget-window-s: 10", "budget-window-s: .nan"},
+        {"budget-window-s: 10", "budget-window-s: -1"},
+        {"grace-s: 8", "grace-s: 1e300"},
+        {"grace-s: 8", "grace-s: .nan"},
+        {"budget-slack: 52", "budget-slack: .nan"},
+        {"quota-slack: 140000", "quota-slack: -.inf"},
+        {"retry-budget-ratio: 0.2", "retry-budget-ratio: .nan"},
+        {"new-field: [1, 2]", "new-field: " + deep},
+        {"new-field: [1, 2]",
+         "new-field: " + deep + std::string(deep.size(), ']')}};
+    for (const auto& it : cases)
+    {
+        CAPTURE(it.from);
+        CAPTURE(it.to.substr(0, 40));
+        auto odd = sound;
+        odd.replace(odd.find(it.from), it.from.size(), it.to);
+        CHECK_FALSE(platform::parse_vm_settings(odd, "odd.yaml").ok());
+    }
+}
