LibFleet: Let entries of unknown roles expire no upstream

Callers saw: a sound worker that got no more requests until it was started anew, after another writer's entry with a service of no manifest named its address.

Cause: the upstream that started last owns its address, and the others there are expired for good. Entries of a role that no manifest names took part.

Change: the table knows the roles of the manifest in force; entries of other roles are kept (a later manifest may name them) but expire no one. Before the first manifest, all roles count.

Evidence, test_libfleet before, in all three subcases of "an entry of an unknown role expires no upstream at its address" (built with the setter only): CHECK( state_of(table, "u") == upstream_state::serving ): CHECK( 2 == 0 ). After: passes.

--- a/Libraries/LibControl/fleet_control_view.cpp
+++ b/Libraries/LibControl/fleet_control_view.cpp
@@ -164,6 +164,12 @@
         std::make_shared<const manifest::route_table>(*std::move(decoded));
     manifest_version_ = version;
     packed_manifest_ = packed;
+    std::set<std::string> roles;
+    for (const auto& it : routes_->source().roles)
+    {
+        roles.insert(it.name);
+    }
+    upstreams_.set_roles(std::move(roles));
     install_rates();
     view_changed_ = true;
     LOG(INFO) << core::log_line("manifest_in_force").with("version", version);
--- a/Libraries/LibFleet/upstream_table.cpp
+++ b/Libraries/LibFleet/upstream_table.cpp
@@ -42,12 +42,16 @@
         entries_.begin(), entries_.end(), [&](const auto& known) {
             const auto& row = known.second.row;
             return known.first != it.id && row.address == it.address &&
-                   row.incarnation > it.incarnation;
+                   row.incarnation > it.incarnation && is_named_role(row.role);
         });
 }
 
 void upstream_table::expire_replaced_by(const upstream_row& it)
 {
+    if (!is_named_role(it.role))
+    {
+        return;
+    }
     for (auto& [id, known] : entries_)
     {
         const bool replaced = id != it.id && known.row.address == it.address &&
--- a/Libraries/LibFleet/upstream_table.hpp
+++ b/Libraries/LibFleet/upstream_table.hpp
@@ -10,7 +10,10 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
+#include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace hyssoploft::fleet {
@@ -22,6 +25,13 @@
         : change_counter_(change_counter)
     {}
 
+    /// Roles that the manifest names. Upstreams of other roles expire no one
+    /// at their address. Before the first call, all roles count as named.
+    void set_roles(std::set<std::string> roles)
+    {
+        roles_ = std::move(roles);
+    }
+
     enum class change : std::uint8_t
     {
         none,    ///< A renewal, or older than the stored row.
@@ -77,12 +87,18 @@
 
 private:
     change apply(const upstream_row& it, core::time_point now);
+    bool is_named_role(const std::string& role) const
+    {
+        return !roles_ || roles_->contains(role);
+    }
+
     bool is_superseded(const upstream_row& it) const;
     void expire_replaced_by(const upstream_row& it);
 
     std::uint64_t& change_counter_;
     std::map<std::string, entry> entries_;
     std::map<std::string, std::uint64_t> removed_; // Change number.
+    std::optional<std::set<std::string>> roles_;
 };
 
 } // namespace hyssoploft::fleet
--- a/Tests/LibFleet/upstream_table.cpp
+++ b/Tests/LibFleet/upstream_table.cpp
@@ -128,3 +128,34 @@
     REQUIRE(rows.size() == 1);
     CHECK(rows[0].cold_ms == 2000);
 }
+
+// Guards against sound upstreams that are hidden for good by one odd entry.
+TEST_CASE("an entry of an unknown role expires no upstream at its address")
+{
+    std::uint64_t change_counter = 0;
+    upstream_table table(change_counter);
+    table.set_roles({"engine"});
+    auto odd = row("odd", 9, 1);
+    odd.role = "unknown";
+    SUBCASE("announced after the sound one")
+    {
+        table.announce(row("u", 1, 1), start);
+        table.announce(odd, start);
+    }
+    SUBCASE("announced before the sound one")
+    {
+        table.announce(odd, start);
+        table.announce(row("u", 1, 1), start);
+    }
+    SUBCASE("received from another control VM")
+    {
+        table.announce(row("u", 1, 1), start);
+        table.merge(odd, start);
+    }
+    table.announce(row("u", 1, 2), start + seconds(1));
+    CHECK(state_of(table, "u") == upstream_state::serving);
+    // The same entry counts once a manifest names its role.
+    table.set_roles({"engine", "unknown"});
+    table.announce(row("u", 1, 3), start + seconds(2));
+    CHECK(state_of(table, "u") == upstream_state::expired);
+}
