LibFleet: Leave out rows with states out of range

Callers saw: nothing yet; the same class of fault on the way between VMs. A row with a state above the enumeration won over every later state of the same incarnation, so the upstream got no more requests, at every VM.

Cause: the state exchange decodes states as bytes, and the view merger, the table of upstreams and the table of VMs took over any value.

Change: rows with an unknown state are left out, with a line in the log at the view merger; a VM's report with one is not answered. Earlier rows stay.

Evidence, test_libfleet before: state 255 was taken over (CHECK( 255 == 0 )), a new row with one was added (CHECK( 2 == 1 )), and both reached the view (view.upstreams.size(), view.vms.size(): CHECK( 2 == 1 )). After: passes.

--- a/Libraries/LibControl/fleet_control_sync.cpp
+++ b/Libraries/LibControl/fleet_control_sync.cpp
@@ -5,6 +5,7 @@
 #include <LibCore/log_line.hpp>
 #include <LibCore/text.hpp>
 #include <LibFleet/load_sources.hpp>
+#include <LibFleet/row_checks.hpp>
 
 #include <glog/logging.h>
 
@@ -258,7 +259,9 @@
 void fleet_control::serve_sync(const wire::incoming_message& it)
 {
     const auto request = wire::decode<fleet::sync_request>(it.payload);
-    if (!replica_ || !request.ok() || request->self.id != it.sender)
+    const bool is_usable = request.ok() && request->self.id == it.sender &&
+                           fleet::has_known_state(request->self);
+    if (!replica_ || !is_usable)
     {
         return;
     }
--- a/Libraries/LibFleet/upstream_table.cpp
+++ b/Libraries/LibFleet/upstream_table.cpp
@@ -2,6 +2,8 @@
 
 #include <LibFleet/upstream_table.hpp>
 
+#include <LibFleet/row_checks.hpp>
+
 #include <algorithm>
 #include <tuple>
 
@@ -144,6 +146,10 @@
 upstream_table::change
 upstream_table::merge(const upstream_row& it, core::time_point now)
 {
+    if (!has_known_state(it))
+    {
+        return change::none; // The view merger logs it.
+    }
     const auto found = entries_.find(it.id);
     if (found != entries_.end())
     {
--- a/Libraries/LibFleet/view_merger.cpp
+++ b/Libraries/LibFleet/view_merger.cpp
@@ -2,7 +2,13 @@
 
 #include <LibFleet/view_merger.hpp>
 
+#include <LibCore/log_line.hpp>
+#include <LibFleet/row_checks.hpp>
+
+#include <glog/logging.h>
+
 #include <algorithm>
+#include <string_view>
 #include <tuple>
 
 namespace hyssoploft::fleet {
@@ -65,6 +71,17 @@
     return a.incarnation > b.incarnation;
 }
 
+void log_unknown_state(
+    const std::string& from, std::string_view kind, const std::string& id,
+    unsigned state)
+{
+    LOG_EVERY_N(WARNING, 20) << core::log_line("row_refused")
+                                    .with("from", from)
+                                    .with("kind", kind)
+                                    .with("id", id)
+                                    .with("state", state);
+}
+
 } // namespace
 
 view_merger::position
@@ -88,10 +105,20 @@
     stored.received_at = now;
     for (const auto& row : it.vms)
     {
+        if (!has_known_state(row))
+        {
+            log_unknown_state(control_vm, "vm", row.id, row.state);
+            continue;
+        }
         stored.vms[row.id] = row;
     }
     for (const auto& row : it.upstreams)
     {
+        if (!has_known_state(row))
+        {
+            log_unknown_state(control_vm, "upstream", row.id, row.state);
+            continue;
+        }
         stored.upstreams[row.id] = {
             row, now + std::chrono::milliseconds(row.cold_ms)};
     }
--- a/Tests/LibFleet/upstream_table.cpp
+++ b/Tests/LibFleet/upstream_table.cpp
@@ -159,3 +159,19 @@
     table.announce(row("u", 1, 3), start + seconds(2));
     CHECK(state_of(table, "u") == upstream_state::expired);
 }
+
+TEST_CASE("an entry with a state out of range is not taken over")
+{
+    std::uint64_t change_counter = 0;
+    upstream_table table(change_counter);
+    table.announce(row("u", 1, 1), start);
+    for (const int state : {3, 7, 127, 255})
+    {
+        auto odd = row("u", 1, 2, static_cast<upstream_state>(state));
+        CHECK(table.merge(odd, start) == upstream_table::change::none);
+        odd.id = "other";
+        CHECK(table.merge(odd, start) == upstream_table::change::none);
+    }
+    CHECK(state_of(table, "u") == upstream_state::serving);
+    CHECK(table.entries().size() == 1);
+}
--- a/Tests/LibFleet/view_merger.cpp
+++ b/Tests/LibFleet/view_merger.cpp
@@ -114,3 +114,33 @@
     CHECK(build_view(merger, later).upstreams.contains("u"));
     CHECK(merger.fresh_source_count(later) == 0);
 }
+
+// Guards against rows of a control VM with values that no enumeration has.
+TEST_CASE("rows with a state out of range are left out of the view")
+{
+    for (const int state : {4, 7, 127, 255})
+    {
+        CAPTURE(state);
+        view_merger merger;
+        auto reply = answer(
+            {upstream("sound", 1),
+             upstream("odd", 1, static_cast<upstream_state>(state))});
+        reply.vms = {
+            vm("sound", vm_state::alive),
+            vm("odd", static_cast<vm_state>(state))};
+        merger.apply("c", reply, start);
+        // A row that turns odd leaves the earlier one in place.
+        auto later =
+            answer({upstream("sound", 2, static_cast<upstream_state>(state))});
+        later.is_snapshot = false;
+        later.vms = {vm("sound", static_cast<vm_state>(state))};
+        merger.apply("c", later, start);
+        const auto view = build_view(merger, start);
+        CHECK(view.upstreams.size() == 1);
+        CHECK(view.vms.size() == 1);
+        REQUIRE(view.upstreams.contains("sound"));
+        CHECK(view.upstreams.at("sound").state == upstream_state::serving);
+        REQUIRE(view.vms.contains("sound"));
+        CHECK(view.vms.at("sound").state == vm_state::alive);
+    }
+}
