LibHttp, LibRelay: Keep calls with one identifier on separate connections

Callers saw: 503, "not run", for a request that a worker was running, if the worker had refused an attempt with the same identifier on the connection and wrote that refusal once more.

Cause: a late copy is told from the answer by the identifier of its request. Two calls with one identifier on a kept connection can't be told apart. One request never tries an upstream or a region twice, so it takes a caller that uses its identifier again, at the entry or through another region.

Change: a connection remembers the identifiers of its last 16 calls, and the pool gives it to no call with one of them; another idle connection or a new one is used. The others are reused as before.

Evidence, test_librelay before: "two calls with one identifier don't share a connection": "upstreams_busy ... not_run:true" in place of "two", for 400, 408, 421, 429 and 503; "a relayed call doesn't share a connection with an earlier attempt": CHECK_EQ( 503, 200 ). After: 49 of 49 cases of test_librelay and 15 of 15 of test_libhttp pass.

--- a/Libraries/LibHttp/connection_pool.cpp
+++ b/Libraries/LibHttp/connection_pool.cpp
@@ -29,6 +29,25 @@
 
 } // namespace
 
+void connection::add_call(std::string id)
+{
+    if (id.empty())
+    {
+        return;
+    }
+    if (recent_calls.size() == max_recent_calls)
+    {
+        recent_calls.pop_front();
+    }
+    recent_calls.push_back(std::move(id));
+}
+
+bool connection::has_carried(const std::string& id) const
+{
+    return std::find(recent_calls.begin(), recent_calls.end(), id) !=
+           recent_calls.end();
+}
+
 void connection::limit_silence(std::chrono::milliseconds timeout)
 {
     if (std::exchange(silence_timeout, timeout) != timeout)
@@ -69,8 +88,8 @@
     return tcp::endpoint(ip, port);
 }
 
-std::unique_ptr<connection>
-connection_pool::take_idle(const std::string& address)
+std::unique_ptr<connection> connection_pool::take_idle(
+    const std::string& address, const std::string& call_id)
 {
     const auto found = idle_.find(address);
     if (found == idle_.end())
@@ -79,27 +98,39 @@
     }
     auto& list = found->second;
     const auto now = std::chrono::steady_clock::now();
-    while (!list.empty())
+    std::unique_ptr<connection> out;
+    // From the back: the connections that were used last.
+    for (auto n = list.size(); n > 0 && !out; --n)
     {
-        auto it = std::move(list.back());
-        list.pop_back();
-        if (now - it->idle_since < it->idle_limit && is_quiet(it->stream))
+        const auto at = list.begin() + static_cast<std::ptrdiff_t>(n - 1);
+        const bool is_usable = now - (*at)->idle_since < (*at)->idle_limit &&
+                               is_quiet((*at)->stream);
+        if (is_usable && (*at)->has_carried(call_id))
         {
-            it->reused = true;
-            return it;
+            continue;
         }
+        if (is_usable)
+        {
+            out = std::move(*at);
+            out->reused = true;
+        }
+        list.erase(at);
+    }
+    if (list.empty())
+    {
+        idle_.erase(found);
     }
-    idle_.erase(found);
-    return nullptr;
+    return out;
 }
 
 asio::awaitable<absl::StatusOr<std::unique_ptr<connection>>>
 connection_pool::acquire(
-    std::string address, bool fresh, std::chrono::nanoseconds timeout)
+    std::string address, bool fresh, std::chrono::nanoseconds timeout,
+    std::string call_id)
 {
     if (!fresh)
     {
-        auto it = take_idle(address);
+        auto it = take_idle(address, call_id);
         if (it)
         {
             co_return it;
--- a/Libraries/LibHttp/connection_pool.hpp
+++ b/Libraries/LibHttp/connection_pool.hpp
@@ -9,6 +9,7 @@
 #include <absl/status/statusor.h>
 
 #include <chrono>
+#include <deque>
 #include <map>
 #include <memory>
 #include <string>
@@ -21,6 +22,12 @@
 {
     explicit connection(asio::io_context& context) : stream(context) {}
 
+    /// Records that the connection carries the call with this identifier.
+    void add_call(std::string id);
+
+    /// False for calls before the last max_recent_calls.
+    bool has_carried(const std::string& id) const;
+
     /// Breaks the connection if the peer acknowledges nothing for this time.
     void limit_silence(std::chrono::milliseconds timeout);
 
@@ -32,6 +39,9 @@
     static constexpr std::size_t max_buffer_bytes =
         max_header_bytes + 64 * 1024;
 
+    /// An answer that an upstream repeats belongs to one of the last calls.
+    static constexpr std::size_t max_recent_calls = 16;
+
     beast::tcp_stream stream;
     beast::flat_buffer buffer{max_buffer_bytes};
     std::string address;
@@ -39,6 +49,7 @@
     std::chrono::steady_clock::time_point idle_since{};
     std::chrono::nanoseconds idle_limit{}; ///< Until the peer may close it.
     std::chrono::milliseconds silence_timeout{}; ///< In force; 0: not set.
+    std::deque<std::string> recent_calls;        ///< Identifiers, oldest first.
 };
 
 class connection_pool
@@ -52,9 +63,13 @@
     /// An idle connection to "IP:port", or a new one. `fresh` asks for a new
     /// one: a reused connection may be closed by its peer while a request is
     /// on its way, and it is then unknown whether the request ran.
-    /// UNAVAILABLE when connecting fails, INVALID_ARGUMENT for a bad address.
-    asio::awaitable<absl::StatusOr<std::unique_ptr<connection>>>
-    acquire(std::string address, bool fresh, std::chrono::nanoseconds timeout);
+    /// The connection has not carried a call with the identifier `call_id`
+    /// lately, so that answers on it to that call are to this one; an empty
+    /// one is not compared. UNAVAILABLE when connecting fails,
+    /// INVALID_ARGUMENT for a bad address.
+    asio::awaitable<absl::StatusOr<std::unique_ptr<connection>>> acquire(
+        std::string address, bool fresh, std::chrono::nanoseconds timeout,
+        std::string call_id = {});
 
     /// Keeps a connection whose last answer was read completely, for
     /// `idle_limit` at most.
@@ -63,7 +78,8 @@
         std::chrono::nanoseconds idle_limit = max_idle);
 
 private:
-    std::unique_ptr<connection> take_idle(const std::string& address);
+    std::unique_ptr<connection>
+    take_idle(const std::string& address, const std::string& call_id);
 
     static constexpr std::size_t max_idle_per_address = 64;
 
--- a/Libraries/LibHttp/http_client.cpp
+++ b/Libraries/LibHttp/http_client.cpp
@@ -71,7 +71,8 @@
 {
     const auto began = std::chrono::steady_clock::now();
     auto acquired = co_await pool_.acquire(
-        address, fresh_connection, std::min(timeout, connect_timeout));
+        address, fresh_connection, std::min(timeout, connect_timeout),
+        identifier_);
     if (cancelled_)
     {
         co_return absl::CancelledError("call cancelled");
@@ -97,6 +98,7 @@
     message.prepare_payload();
     connection_ = *std::move(acquired);
     connection_->limit_silence(silence_timeout_);
+    connection_->add_call(identifier_);
     reused_ = connection_->reused;
     stage_ = call_stage::sending;
     auto& stream = connection_->stream;
--- a/Libraries/LibHttp/http_client.hpp
+++ b/Libraries/LibHttp/http_client.hpp
@@ -19,6 +19,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <utility>
 
 namespace hyssoploft::http {
 
@@ -68,6 +69,14 @@
         silence_timeout_ = timeout;
     }
 
+    /// Keeps the call off connections that have carried one with the same
+    /// identifier: a late answer to that one would look like the answer to
+    /// this one. Call before start().
+    void set_identifier(std::string id)
+    {
+        identifier_ = std::move(id);
+    }
+
     /// Reads the head of one more answer on the same connection, in place of
     /// the current one, which belongs to another call. Errors as start();
     /// UNAVAILABLE if the connection ends with the current answer.
@@ -124,6 +133,7 @@
     std::optional<bhttp::response_parser<bhttp::buffer_body>> parser_;
     std::chrono::milliseconds silence_timeout_ =
         connection::default_silence_timeout;
+    std::string identifier_; // Empty: not known.
     call_stage stage_ = call_stage::connecting;
     bool cancelled_ = false;
     bool reused_ = false;
--- a/Libraries/LibRelay/upstream_attempt.cpp
+++ b/Libraries/LibRelay/upstream_attempt.cpp
@@ -38,6 +38,7 @@
         terms_.repeat, terms_.max_executions,
         http::connection::default_silence_timeout,
         terms_.deadline - services_.clock->now()));
+    call_.set_identifier(terms_.request_id);
 }
 
 bool upstream_attempt::choose_address(
--- a/Tests/LibRelay/late_answers.cpp
+++ b/Tests/LibRelay/late_answers.cpp
@@ -5,6 +5,7 @@
 #include "relay_fixture.hpp"
 
 #include <LibCore/text.hpp>
+#include <LibRelay/relay_ticket.hpp>
 
 #include <doctest.h>
 
@@ -226,3 +227,60 @@
     }));
     CHECK_EQ(it.call(relay_request("/order/2", "b")).body, "two");
 }
+
+// Guards against the same where only the connection tells the two apart: both
+// calls have the identifier of one request.
+TEST_CASE("two calls with one identifier don't share a connection")
+{
+    for (const unsigned status : {400U, 408U, 421U, 429U, 503U})
+    {
+        CAPTURE(status);
+        relay_fixture it;
+        const auto refusal = not_run(status, "{id}");
+        it.upstream.set_replies(
+            {{refusal},
+             {signed_answer(200, "two"), after_reply::keep, {}, refusal},
+             {signed_answer(200, "three"), after_reply::keep, {}, refusal}});
+        (void)it.call(relay_request("/order/1", "a"));
+        CHECK_EQ(it.call(relay_request("/order/1", "a")).body, "two");
+        CHECK_EQ(it.call(relay_request("/order/1", "a")).body, "three");
+        it.state.with([&] {
+            CHECK_EQ(it.upstream.received.size(), 3);
+        });
+    }
+}
+
+TEST_CASE("a relayed call doesn't share a connection with an earlier attempt")
+{
+    relay_fixture it;
+    auto peers = std::make_shared<relay::peer_handler>(it.services);
+    const reserved_address reserved;
+    auto thread = std::make_shared<http::traffic_thread>();
+    auto created =
+        http::http_server::create({reserved.text()}, {thread}, peers);
+    REQUIRE(created.ok());
+    (*created)->start();
+    relay::relay_ticket ticket;
+    ticket.request_id = "a";
+    ticket.role = "service";
+    ticket.time_left = 2s;
+    const auto refusal = not_run("{id}");
+    it.upstream.set_replies(
+        {{refusal},
+         {signed_answer(200, "two"), after_reply::keep, {}, refusal}});
+    const auto call = [&] {
+        test_caller caller(reserved.text());
+        caller.send(relay_request(
+            "/order/1", "a",
+            core::concat(
+                relay::ticket_header, ": ", relay::encode(ticket, "fleet key"),
+                "\r\n")));
+        return caller.read();
+    };
+    CHECK_EQ(call().status, 503);
+    const auto got = call();
+    CHECK_EQ(got.status, 200);
+    CHECK_EQ(got.body, "two");
+    (*created)->drain();
+    thread->stop();
+}
