--- a/Libraries/LibFleet/upstream_table.cpp
+++ b/Libraries/LibFleet/upstream_table.cpp
@@ -2,6 +2,8 @@
 
 #include <LibFleet/upstream_table.hpp>
 
+#include <LibFleet/row_checks.hpp>
+
 #include <algorithm>
 #include <tuple>
 
@@ -42,12 +44,16 @@
         entries_.begin(), entries_.end(), [&](const auto& known) {
             const auto& row = known.second.row;
             return known.first != it.id && row.address == it.address &&
-                   row.incarnation > it.incarnation;
+                   row.incarnation > it.incarnation && is_named_role(row.role);
         });
 }
 
 void upstream_table::expire_replaced_by(const upstream_row& it)
 {
+    if (!is_named_role(it.role))
+    {
+        return;
+    }
     for (auto& [id, known] : entries_)
     {
         const bool replaced = id != it.id && known.row.address == it.address &&
@@ -140,6 +146,10 @@
 upstream_table::change
 upstream_table::merge(const upstream_row& it, core::time_point now)
 {
+    if (!has_known_state(it))
+    {
+        return change::none; // The view merger logs it.
+    }
     const auto found = entries_.find(it.id);
     if (found != entries_.end())
     {
--- a/Libraries/LibRelay/upstream_attempt.cpp
+++ b/Libraries/LibRelay/upstream_attempt.cpp
@@ -37,6 +37,7 @@
     call_.set_silence_timeout(silence_timeout_for(
         http::connection::default_silence_timeout,
         terms_.deadline - services_.clock->now()));
+    call_.set_identifier(terms_.request_id);
 }
 
 bool upstream_attempt::choose_address(
