LibRelay: Don't forward trailers of an answer as its headers

Cause: the head of an answer was copied for the caller after the body had been read. The parser adds the trailers to the head by then, so that a trailer reached the caller as a header, among others Server-Leaving, which the VM had not seen when it decided.

Change: the head is copied before the body is read.

--- a/Libraries/LibRelay/relay_run_forward.cpp
+++ b/Libraries/LibRelay/relay_run_forward.cpp
@@ -20,6 +20,9 @@
 {
     services_.router->record_first_event(
         placement_ticket_, services_.clock->now());
+    // Before the body is read: the parser adds the trailers to the head.
+    http::response answer(from.head().result(), 11);
+    services_.codec->copy_answer_headers(from.head(), answer.base());
     auto body = co_await from.read_all(time_left());
     stop_silence_watch();
     if (!body.ok())
@@ -40,8 +43,6 @@
         }
         co_return should_rerun() ? next_step::retry : next_step::give_up;
     }
-    http::response answer(from.head().result(), 11);
-    services_.codec->copy_answer_headers(from.head(), answer.base());
     answer.body() = *std::move(body);
     const bool failed = answer.result_int() >= 500;
     if (!failed)
@@ -66,12 +67,13 @@
 http::asio::awaitable<relay_run::next_step>
 relay_run::forward_events(upstream_attempt& from)
 {
+    // Before the body is read: the parser adds the trailers to the head.
+    http::bhttp::response<http::bhttp::empty_body> head(
+        from.head().result(), 11);
+    services_.codec->copy_answer_headers(from.head(), head.base());
     // The head is sent with the first event, so that a stream that breaks
     // earlier can still be retried at another upstream.
     const auto send_head = [&]() -> http::asio::awaitable<absl::Status> {
-        http::bhttp::response<http::bhttp::empty_body> head(
-            from.head().result(), 11);
-        services_.codec->copy_answer_headers(from.head(), head.base());
         status_ = head.result_int();
         co_return co_await caller_.begin_stream(std::move(head));
     };
