LibFleet, LibRelay, LibControl: Obey upstreams that leave by their answers

Cause: an upstream that leaves says so in each answer (Server-Leaving: 1), and nothing read it. A VM that no control VM told went on sending to it.

Change: answer_head::upstream_leaves, read from the head whatever the status. leaving_upstreams keeps (id, incarnation); leaving is final for it and for older ones, and a row is kept 10 minutes after it was last listed, so that a late announcement doesn't take it back. The VM that called the upstream directly obeys at once: backlog_router::choose has no such option, not even as a last resort, and upstream_attempt::check_target asks again next to the send. A VM that relays a call obeys for its region. The control thread reports to the control VMs (message 27) each second until the view shows it; they apply it as upstream_table::leave for that incarnation and spread it like an announcement. An answer with 421 speaks for another upstream and is passed over.

--- a/Libraries/LibControl/fleet_control.cpp
+++ b/Libraries/LibControl/fleet_control.cpp
@@ -220,6 +220,7 @@
     proposals_->tick();
     sync_peers();
     update_suspects();
+    update_leaving();
     if (now >= next_view_rebuild_ || view_changed_ || sums_are_outdated(now))
     {
         next_view_rebuild_ = now + view_rebuild_interval;
@@ -262,6 +263,9 @@
     case message_type::suspect_notice:
         on_suspect_notice(it);
         return;
+    case message_type::leave_notice:
+        on_leave_notice(it);
+        return;
     case message_type::loan_request:
         serve_loan(it);
         return;
--- a/Libraries/LibControl/fleet_control.hpp
+++ b/Libraries/LibControl/fleet_control.hpp
@@ -12,6 +12,7 @@
 #include <LibControl/replica_driver.hpp>
 #include <LibCore/clock.hpp>
 #include <LibCore/random_source.hpp>
+#include <LibFleet/leaving_upstreams.hpp>
 #include <LibFleet/load_aggregation.hpp>
 #include <LibFleet/load_table.hpp>
 #include <LibFleet/peer_loads.hpp>
@@ -65,6 +66,7 @@
 
 class fleet_control final : public fleet::traffic_source,
                             public fleet::suspect_sink,
+                            public fleet::leave_sink,
                             public rate::credit_lender,
                             public replica_environment,
                             public fleet_source
@@ -118,6 +120,11 @@
         core::time_point at) override;
     void report_answer(std::uint64_t part, core::time_point at) override;
 
+    // leave_sink
+    void report_leaving(
+        const std::string& upstream, std::uint64_t incarnation,
+        core::time_point at) override;
+
     /// Requests credit of an account from the grantors.
     void borrow(
         const std::string& account, double tokens, loan_handler done) override;
@@ -215,6 +222,13 @@
     void send_suspects(core::time_point now);
     std::vector<std::string> suspect_recipients() const;
 
+    // Upstreams that said in answers that they leave
+    // (fleet_control_leaving.cpp).
+    void on_leave_notice(const wire::incoming_message& it);
+    void update_leaving();
+    void send_leaving(core::time_point now);
+    void apply_leaving(const fleet::leave_row& it, const std::string& vm);
+
     // Account credit (fleet_control_credit.cpp).
     struct pending_loan;
     std::uint32_t update_grantor_count(core::time_point now);
@@ -283,6 +297,9 @@
     std::shared_ptr<const fleet::suspect_parts> suspect_states_ =
         std::make_shared<fleet::suspect_parts>();
 
+    fleet::leaving_upstreams own_leaving_; // Seen by this VM itself.
+    core::time_point next_leave_notice_{};
+
     std::vector<std::string> seeds_;         // VMs.
     std::map<std::string, sync_peer> peers_; // By VM.
     fleet::view_merger merger_;
--- a/Libraries/LibFleet/fleet_messages.hpp
+++ b/Libraries/LibFleet/fleet_messages.hpp
@@ -82,6 +82,33 @@
     }
 };
 
+/// An upstream whose answer to the sending VM said that it leaves.
+struct leave_row
+{
+    std::string upstream;
+    std::uint64_t incarnation = 0;
+    std::uint32_t age_ms = 0; ///< Of the answer.
+
+    bool operator==(const leave_row&) const = default;
+
+    template <typename Archive>
+    void serialize(Archive& archive)
+    {
+        archive(upstream, incarnation, age_ms);
+    }
+};
+
+struct leave_notice
+{
+    std::vector<leave_row> rows;
+
+    template <typename Archive>
+    void serialize(Archive& archive)
+    {
+        archive(rows);
+    }
+};
+
 /// Load on one upstream, caused by one VM or summed over several VMs.
 struct load_row
 {
--- a/Libraries/LibFleet/traffic_view.hpp
+++ b/Libraries/LibFleet/traffic_view.hpp
@@ -87,6 +87,19 @@
     virtual void report_answer(std::uint64_t part, core::time_point at) = 0;
 };
 
+/// Receives what traffic threads observe about upstreams. Thread-safe; returns
+/// immediately.
+class leave_sink
+{
+public:
+    virtual ~leave_sink() = default;
+
+    /// An answer of this incarnation said that it leaves.
+    virtual void report_leaving(
+        const std::string& upstream, std::uint64_t incarnation,
+        core::time_point at) = 0;
+};
+
 } // namespace hyssoploft::fleet
 
 #endif
--- a/Libraries/LibFleet/upstream_table.cpp
+++ b/Libraries/LibFleet/upstream_table.cpp
@@ -137,6 +137,15 @@
     return change::leaving;
 }
 
+upstream_table::change upstream_table::leave(
+    const std::string& id, std::uint64_t incarnation, core::time_point now)
+{
+    const auto found = entries_.find(id);
+    const bool is_meant =
+        found != entries_.end() && found->second.row.incarnation <= incarnation;
+    return is_meant ? leave(id, now) : change::none;
+}
+
 upstream_table::change
 upstream_table::merge(const upstream_row& it, core::time_point now)
 {
--- a/Libraries/LibFleet/upstream_table.hpp
+++ b/Libraries/LibFleet/upstream_table.hpp
@@ -35,6 +35,10 @@
     /// Marks the stored incarnation as leaving.
     change leave(const std::string& id, core::time_point now);
 
+    /// The same if the stored incarnation is `incarnation` or older.
+    change leave(
+        const std::string& id, std::uint64_t incarnation, core::time_point now);
+
     /// Applies a row of another control VM.
     change merge(const upstream_row& it, core::time_point now);
     void merge_announcement(const announcement_row& it, core::time_point now);
--- a/Libraries/LibRelay/call_codec.hpp
+++ b/Libraries/LibRelay/call_codec.hpp
@@ -50,6 +50,7 @@
     bool is_stream = false;         ///< The body is a stream of events.
     bool has_content_encoding = false; ///< The body has a content encoding.
     bool signed_by_upstream = false;
+    bool upstream_leaves = false; ///< It wants no new calls from now on.
 };
 
 class call_codec
--- a/Libraries/LibRelay/relay_services.hpp
+++ b/Libraries/LibRelay/relay_services.hpp
@@ -45,6 +45,7 @@
     std::shared_ptr<rate::rate_limiter> rates;
     std::shared_ptr<rate::credit_lender> lender;   ///< May be null.
     std::shared_ptr<fleet::suspect_sink> suspects; ///< Never null.
+    std::shared_ptr<fleet::leave_sink> leaves;     ///< Never null.
     std::shared_ptr<core::clock> clock;
     core::random_source* random = nullptr; ///< Outlives the services.
     telemetry::metrics* metrics = nullptr; ///< Outlives the services.
--- a/Libraries/LibRelay/upstream_attempt.cpp
+++ b/Libraries/LibRelay/upstream_attempt.cpp
@@ -2,11 +2,14 @@
 
 #include <LibRelay/upstream_attempt.hpp>
 
+#include <LibCore/log_line.hpp>
 #include <LibCore/text.hpp>
 #include <LibFleet/entry_directory.hpp>
 #include <LibRelay/relay_ticket.hpp>
 #include <LibRelay/repeat_rules.hpp>
 
+#include <glog/logging.h>
+
 namespace hyssoploft::relay {
 
 namespace {
@@ -61,8 +64,7 @@
     return true;
 }
 
-absl::Status
-upstream_attempt::check_target(const routing::placement& target) const
+absl::Status upstream_attempt::check_target(const routing::placement& target)
 {
     const auto view = services_.source->view();
     if (terms_.deadline - services_.clock->now() < min_time_left)
@@ -92,10 +94,37 @@
         found != view->fleet->upstreams.end() &&
         found->second.state == membership::upstream_state::serving &&
         found->second.address == address_ &&
+        !services_.router->leaving().contains(
+            target.upstream, found->second.incarnation) &&
         !view->evacuated.contains(found->second.data_center);
-    return is_usable ? absl::OkStatus()
-                     : absl::UnavailableError(
-                           "the upstream may not be used any more");
+    if (!is_usable)
+    {
+        return absl::UnavailableError("the upstream may not be used any more");
+    }
+    upstream_ = target.upstream;
+    incarnation_ = found->second.incarnation;
+    return absl::OkStatus();
+}
+
+void upstream_attempt::obey_answer()
+{
+    // A VM that forwarded the call obeys its upstream itself. Another upstream
+    // that uses the address now is not the one that was called.
+    if (upstream_.empty() || !parsed_answer_.upstream_leaves ||
+        parsed_answer_.is_address_reused)
+    {
+        return;
+    }
+    const auto now = services_.clock->now();
+    if (!services_.router->leaving().add(upstream_, incarnation_, now))
+    {
+        return;
+    }
+    LOG(INFO) << core::log_line("upstream_leaves_by_answer")
+                     .with("upstream", upstream_)
+                     .with("incarnation", incarnation_)
+                     .with("status", call_.head().result_int());
+    services_.leaves->report_leaving(upstream_, incarnation_, now);
 }
 
 http::request upstream_attempt::make_message(
@@ -181,6 +210,7 @@
     for (int n = 0;; ++n)
     {
         parsed_answer_ = services_.codec->read_answer(call_.head());
+        obey_answer();
         if (parsed_answer_.request_id == terms_.request_id)
         {
             co_return absl::OkStatus();
--- a/Libraries/LibRelay/upstream_attempt.hpp
+++ b/Libraries/LibRelay/upstream_attempt.hpp
@@ -93,7 +93,9 @@
         const fleet::traffic_view& view, const routing::placement& chosen);
     /// UNAVAILABLE if the placement, the admission or the request's time has
     /// expired since the target was chosen.
-    absl::Status check_target(const routing::placement& target) const;
+    absl::Status check_target(const routing::placement& target);
+    /// Acts on what the upstream says of itself in parsed_answer_.
+    void obey_answer();
     http::request make_message(
         const routing::placement& target, const http::request& from,
         const std::string& last_event_id) const;
@@ -107,6 +109,8 @@
     http::http_call call_;
     std::string address_;
     std::string via_vm_;
+    std::string upstream_; // Called directly; empty: not sent, or via a VM.
+    std::uint64_t incarnation_ = 0; // Listed at the time of sending.
     answer_head parsed_answer_;
 };
 
--- a/Libraries/LibRouting/backlog_router.cpp
+++ b/Libraries/LibRouting/backlog_router.cpp
@@ -275,7 +275,8 @@
     for (const auto& [id, it] : view.fleet->upstreams)
     {
         if (it.role != request.role ||
-            it.state != membership::upstream_state::serving)
+            it.state != membership::upstream_state::serving ||
+            leaving_.contains(id, it.incarnation))
         {
             continue;
         }
@@ -573,6 +574,7 @@
                !view.fleet->upstreams.contains(it.first) &&
                now - it.second.last_used > upstream_state_ttl;
     });
+    leaving_.remove_stale(*view.fleet, now);
 }
 
 } // namespace hyssoploft::routing
--- a/Libraries/LibRouting/backlog_router.hpp
+++ b/Libraries/LibRouting/backlog_router.hpp
@@ -11,6 +11,7 @@
 #include <LibCore/enum_table.hpp>
 #include <LibCore/random_source.hpp>
 #include <LibCore/time.hpp>
+#include <LibFleet/leaving_upstreams.hpp>
 #include <LibFleet/traffic_view.hpp>
 #include <LibRouting/prompt_cache.hpp>
 
@@ -186,6 +187,12 @@
     void finish_call(
         std::uint64_t ticket, placement_outcome end, core::time_point now);
 
+    /// Upstreams that are not chosen although the view lists them as serving.
+    fleet::leaving_upstreams& leaving()
+    {
+        return leaving_;
+    }
+
     /// Load that this VM causes in its own region, for reports to other VMs.
     std::vector<fleet::load_row> own_loads() const;
 
@@ -290,6 +297,7 @@
     std::uint64_t next_ticket_ = 1;
     std::map<std::uint64_t, running_call> calls_;
     std::map<std::string, upstream_state> upstreams_;
+    fleet::leaving_upstreams leaving_;
     std::map<std::string, role_state> roles_;
 };
 
--- a/Libraries/LibWire/message_type.hpp
+++ b/Libraries/LibWire/message_type.hpp
@@ -36,10 +36,11 @@
     loan_request = 23,
     loan_answer = 24,
     load_notice = 25,
-    suspect_notice = 26
+    suspect_notice = 26,
+    leave_notice = 27
 };
 
-inline constexpr core::enum_table<message_type, 26> message_type_names{
+inline constexpr core::enum_table<message_type, 27> message_type_names{
     {{message_type::hello, "hello"},
      {message_type::ping, "ping"},
      {message_type::ack, "ack"},
@@ -65,7 +66,8 @@
      {message_type::loan_request, "loan_request"},
      {message_type::loan_answer, "loan_answer"},
      {message_type::load_notice, "load_notice"},
-     {message_type::suspect_notice, "suspect_notice"}}};
+     {message_type::suspect_notice, "suspect_notice"},
+     {message_type::leave_notice, "leave_notice"}}};
 
 } // namespace hyssoploft::wire
 
--- a/Services/hyssoploft/fleet_process.cpp
+++ b/Services/hyssoploft/fleet_process.cpp
@@ -196,6 +196,7 @@
     relay_->rates = control_->rates();
     relay_->lender = control_;
     relay_->suspects = control_;
+    relay_->leaves = control_;
     relay_->clock = clock_;
     relay_->random = &traffic_random_;
     relay_->metrics = &metrics_;
--- a/Tests/LibRelay/relay_fixture.cpp
+++ b/Tests/LibRelay/relay_fixture.cpp
@@ -89,6 +89,21 @@
     return crashes_;
 }
 
+void recorded_leaves::report_leaving(
+    const std::string& upstream, std::uint64_t incarnation, core::time_point at)
+{
+    (void)at;
+    const std::lock_guard lock(mutex_);
+    reports_.emplace_back(upstream, incarnation);
+}
+
+std::vector<std::pair<std::string, std::uint64_t>>
+recorded_leaves::reports() const
+{
+    const std::lock_guard lock(mutex_);
+    return reports_;
+}
+
 relay::call_head fake_codec::read_call(const http::request& it) const
 {
     relay::call_head out;
@@ -141,13 +156,15 @@
     out.is_stream =
         http::header_value(it, "content-type") == "text/event-stream";
     out.signed_by_upstream = it.find("x-signature") != it.end();
+    out.upstream_leaves = it.find("x-leaving") != it.end();
     return out;
 }
 
 void fake_codec::copy_answer_headers(
     const bhttp::response_header<>& from, bhttp::response_header<>& to) const
 {
-    for (const auto* name : {"x-request-id", "x-signature", "content-type"})
+    for (const auto* name :
+         {"x-request-id", "x-signature", "content-type", "x-leaving"})
     {
         if (from.find(name) != from.end())
         {
@@ -221,6 +238,7 @@
     services->rates = limiter;
     services->clock = clock;
     services->suspects = suspects;
+    services->leaves = leaves;
     services->random = &random_;
     services->metrics = &metrics;
     services->router = std::make_unique<routing::backlog_router>(
@@ -230,11 +248,18 @@
     REQUIRE(created.ok());
     server = *created;
     server->start();
+    created = http::http_server::create(
+        {peer_address}, {thread_},
+        std::make_shared<relay::peer_handler>(services));
+    REQUIRE(created.ok());
+    peer_server = *created;
+    peer_server->start();
 }
 
 relay_fixture::~relay_fixture()
 {
     server->drain();
+    peer_server->drain();
     thread_->stop();
 }
 
--- a/Tests/LibRelay/relay_fixture.hpp
+++ b/Tests/LibRelay/relay_fixture.hpp
@@ -19,6 +19,7 @@
 #include <mutex>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 namespace hyssoploft::tests {
@@ -65,8 +66,24 @@
     std::vector<std::vector<std::uint64_t>> crashes_;
 };
 
+/// Keeps the reports of upstreams that leave. Thread safe.
+class recorded_leaves final : public fleet::leave_sink
+{
+public:
+    void report_leaving(
+        const std::string& upstream, std::uint64_t incarnation,
+        core::time_point at) override;
+
+    std::vector<std::pair<std::string, std::uint64_t>> reports() const;
+
+private:
+    mutable std::mutex mutex_; // Guards reports_.
+    std::vector<std::pair<std::string, std::uint64_t>> reports_;
+};
+
 /// Headers of the tests: x-request-id, x-key, x-deadline-ms, last-event-id,
-/// x-not-run, x-signature, x-parts (identifiers of parts of 100 tokens).
+/// x-not-run, x-signature, x-leaving, x-parts (identifiers of parts of 100
+/// tokens).
 class fake_codec final : public relay::call_codec
 {
 public:
@@ -159,11 +176,16 @@
     monitor state;
     const reserved_address reserved;
     const std::string address = reserved.text();
+    const reserved_address peer_reserved;
+    /// Of the handler for calls that another VM forwards.
+    const std::string peer_address = peer_reserved.text();
     std::shared_ptr<skipping_clock> clock = std::make_shared<skipping_clock>();
     std::shared_ptr<fake_traffic_source> source =
         std::make_shared<fake_traffic_source>();
     std::shared_ptr<local_suspects> suspects =
         std::make_shared<local_suspects>(*source);
+    std::shared_ptr<recorded_leaves> leaves =
+        std::make_shared<recorded_leaves>();
     std::shared_ptr<fake_codec> codec = std::make_shared<fake_codec>();
     std::shared_ptr<generous_limiter> limiter =
         std::make_shared<generous_limiter>();
@@ -171,6 +193,7 @@
     scripted_upstream upstream; ///< "first", in data centre "n-a".
     std::shared_ptr<relay::relay_services> services;
     std::shared_ptr<http::http_server> server;
+    std::shared_ptr<http::http_server> peer_server;
 
 private:
     void declare();
--- a/Tests/LibRouting/backlog_router.cpp
+++ b/Tests/LibRouting/backlog_router.cpp
@@ -273,6 +273,27 @@
     CHECK(choose_upstream(setup, call(1000)) == "c");
 }
 
+TEST_CASE("an upstream that said that it leaves is not even a last resort")
+{
+    test_fleet setup({engine("a", "east"), engine("b", "west")});
+    for (const auto* id : {"a", "b"})
+    {
+        setup.fleet.upstreams[id].incarnation = 5;
+    }
+    setup.publish();
+    setup.router.leaving().add("a", 5, start);
+    CHECK(choose_upstream(setup, call(1000)) == "b");
+    auto local = call(1000);
+    local.local_only = true;
+    const auto out = setup.router.choose(setup.view, local, start);
+    CHECK_FALSE(out.chosen);
+    CHECK(out.refusal == placement_refusal::all_tried);
+    // The same ID may be started again.
+    setup.fleet.upstreams["a"].incarnation = 6;
+    setup.publish();
+    CHECK(setup.router.choose(setup.view, local, start).chosen);
+}
+
 TEST_CASE("the rate of calls to a cold upstream is shared by all VMs")
 {
     test_fleet setup({engine("a", "east")});
--- a/Tests/platform/call_headers.cpp
+++ b/Tests/platform/call_headers.cpp
@@ -3,8 +3,11 @@
 
 #include <platform/call_headers.hpp>
 
+#include <absl/strings/str_join.h>
 #include <doctest.h>
 
+#include <vector>
+
 using namespace hyssoploft;
 namespace bhttp = http::bhttp;
 
@@ -148,6 +151,39 @@
     CHECK_FALSE(codec.read_answer(stream).is_stream);
 }
 
+TEST_CASE("an upstream leaves if it says so once and in so many words")
+{
+    struct row
+    {
+        std::vector<const char*> values;
+        bool leaves;
+    };
+    const row rows[] = {{{}, false},         {{"1"}, true},
+                        {{""}, false},       {{"0"}, false},
+                        {{"true"}, false},   {{"1 "}, true},
+                        {{"01"}, false},     {{"1, 1"}, false},
+                        {{"1", "1"}, false}, {{"0", "1"}, false}};
+    const platform::call_headers codec;
+    for (const auto& row : rows)
+    {
+        CAPTURE(absl::StrJoin(row.values, " and "));
+        for (const auto status : {200U, 404U, 500U, 503U})
+        {
+            bhttp::response_header<> head;
+            head.result(status);
+            for (const auto* value : row.values)
+            {
+                head.insert("Server-Leaving", value);
+            }
+            CHECK(codec.read_answer(head).upstream_leaves == row.leaves);
+            // Callers and VMs of other regions read it too.
+            bhttp::response_header<> forwarded;
+            codec.copy_answer_headers(head, forwarded);
+            CHECK(forwarded.count("Server-Leaving") == row.values.size());
+        }
+    }
+}
+
 TEST_CASE("a refusal bears no signature and a fraction of seconds")
 {
     const platform::call_headers codec;
