--- a/Libraries/LibHttp/http_client.cpp
+++ b/Libraries/LibHttp/http_client.cpp
@@ -71,7 +71,8 @@
 {
     const auto began = std::chrono::steady_clock::now();
     auto acquired = co_await pool_.acquire(
-        address, fresh_connection, std::min(timeout, connect_timeout));
+        address, fresh_connection, std::min(timeout, connect_timeout),
+        identifier_);
     if (cancelled_)
     {
         co_return absl::CancelledError("call cancelled");
@@ -97,6 +98,7 @@
     message.prepare_payload();
     connection_ = *std::move(acquired);
     connection_->limit_silence(silence_timeout_);
+    connection_->add_call(identifier_);
     reused_ = connection_->reused;
     stage_ = call_stage::sending;
     auto& stream = connection_->stream;
@@ -132,6 +134,7 @@
             bhttp::status_class::informational)
         {
             stage_ = call_stage::reading_answer;
+            ends_with_connection_ = parser_->need_eof();
             co_return absl::OkStatus();
         }
     }
@@ -254,7 +257,8 @@
     }
     const auto text = core::concat(
         core::name_of(call_stage_names, stage_), ": ", ec.message());
-    if (ec == beast::error::timeout)
+    // The second one: the peer acknowledged nothing for the silence timeout.
+    if (ec == beast::error::timeout || ec == asio::error::timed_out)
     {
         return absl::DeadlineExceededError(text);
     }
--- a/Libraries/LibRelay/relay_services.hpp
+++ b/Libraries/LibRelay/relay_services.hpp
@@ -45,6 +45,7 @@
     std::shared_ptr<rate::rate_limiter> rates;
     std::shared_ptr<rate::credit_lender> lender;   ///< May be null.
     std::shared_ptr<fleet::suspect_sink> suspects; ///< Never null.
+    std::shared_ptr<fleet::leave_sink> leaves;     ///< Never null.
     std::shared_ptr<core::clock> clock;
     core::random_source* random = nullptr; ///< Outlives the services.
     telemetry::metrics* metrics = nullptr; ///< Outlives the services.
@@ -86,8 +87,9 @@
     std::uint32_t urgency = 0;
     std::uint32_t max_executions = 1; ///< Limit on upstreams that may run it.
     std::set<std::string> allowed_regions; ///< Empty: all.
-    /// Sent although a part of its prompt is quarantined.
-    bool is_trial = false;
+    /// Sent although a part of its prompt is quarantined: as a trial, or as an
+    /// upstream has generated events for it.
+    bool ignores_quarantine = false;
     bool relayed = false; ///< Forwarded by another VM; stays in this region.
     std::uint64_t manifest_version = 0; ///< That admitted it, unless relayed.
     call_head head;
