--- a/review/fleet.sh
+++ b/review/fleet.sh
@@ -53,6 +53,7 @@
         [[ $name == *-1 ]] && fleet_seeds+=("${fleet_ips[$name]}:8229")
     done
     trap fleet_stop EXIT
+    trap 'exit 2' INT TERM
 }
 
 fleet_settings() { # NAME BOOTSTRAP
@@ -106,7 +107,7 @@
     (
         cd "$fleet_top" || exit 2
         # The platform's limit on descriptors, for this process only.
-        ulimit -n "$fleet_max_fds"
+        ulimit -n "$fleet_max_fds" || exit 2
         exec env -i PATH="$PATH" HOME="$fleet_dir" LANG=C.UTF-8 \
             HYSSOPLOFT_SETTINGS="$fleet_dir/$1.yaml" \
             HYSSOPLOFT_FLEET_KEY="$fleet_key" \
--- a/review/stand_ins/evacuations.cpp
+++ b/review/stand_ins/evacuations.cpp
@@ -193,6 +193,8 @@
             ::kill(process, SIGSTOP);
             say("machine A freezes");
         }
+        // All threads of the process have stopped by then.
+        co_await review::pause(200ms);
         done = co_await order("End", a_first) && done;
         co_await review::pause(2000ms);
         done = co_await order("Start", only_b) && done;
