LibControl: Apply no evacuation order that a newer one has overtaken

Cause: a control VM that stood still read an operator's order seconds after its caller had closed the connection and had a newer one acknowledged elsewhere. Nothing between the socket and the log asked whether the caller still waits, and the log applied orders whatever came before them. The same holds for an order in the queue to the control thread, in the repeats of the proposer and in the queue of a leader.

Change: an evacuation_change is based on the order revision of its data centre, which is read before the caller is seen to wait; the state machine applies it only if that revision still stands or if it alters nothing. Each applied change is a new revision. Departures of upstreams are bound to an incarnation in the same way, and changes of resources are not proposed for a caller that has gone.

Why this works: a caller that waits had sent no later order when the revision was read, so a later order has changed the revision that the log compares.

--- a/Libraries/LibControl/admin_handler.cpp
+++ b/Libraries/LibControl/admin_handler.cpp
@@ -163,6 +163,14 @@
         co_return out.ok() ? json_response(200, resource::to_json_text(*out))
                            : error_response(out.status());
     }
+    // After a pause of the process, its caller may have had later changes
+    // applied by another VM.
+    if (!it.caller_waits())
+    {
+        LOG(WARNING) << core::log_line("apply_abandoned")
+                            .with("request", batch.request_id);
+        co_return error_response(503, "the caller has gone");
+    }
     using result = absl::StatusOr<resource::apply_result>;
     auto applied =
         co_await await_callback<result>(it.executor(), [&](auto done) {
--- a/Libraries/LibControl/control_messages.hpp
+++ b/Libraries/LibControl/control_messages.hpp
@@ -30,12 +30,15 @@
 
 enum class command_kind : std::uint8_t
 {
-    resources = 1,  ///< resource::change_batch
-    ledger = 2,     ///< ledger::command
-    replica = 3,    ///< replica_entry
-    manifest = 4,   ///< manifest_command
-    evacuation = 5, ///< evacuation_command
-    barrier = 6     ///< No body: reads the manifest_status in log order.
+    resources = 1, ///< resource::change_batch
+    ledger = 2,    ///< ledger::command
+    replica = 3,   ///< replica_entry
+    manifest = 4,  ///< manifest_command
+    /// evacuation_command, whatever came before it. No longer proposed; logs
+    /// of earlier builds contain it.
+    evacuation = 5,
+    barrier = 6,          ///< No body: reads the manifest_status in log order.
+    evacuation_change = 7 ///< control::evacuation_change
 };
 
 /// A command as stored in a log entry.
--- a/Libraries/LibControl/control_state_machine.cpp
+++ b/Libraries/LibControl/control_state_machine.cpp
@@ -46,7 +46,8 @@
     }
 };
 
-struct snapshot_body
+// Format of builds whose evacuations had no order revisions.
+struct snapshot_without_evacuation_orders
 {
     snapshot_without_manifests without_manifests;
     manifest_store manifests;
@@ -58,6 +59,19 @@
     }
 };
 
+struct snapshot_body
+{
+    snapshot_without_manifests without_manifests;
+    manifest_store manifests;
+    manifest_store::order_revisions evacuation_orders;
+
+    template <typename Archive>
+    void serialize(Archive& archive)
+    {
+        archive(without_manifests, manifests, evacuation_orders);
+    }
+};
+
 absl::StatusOr<snapshot_body> decode_snapshot(std::string_view bytes)
 {
     auto body = wire::decode<snapshot_body>(bytes);
@@ -66,6 +80,14 @@
         return body;
     }
     snapshot_body out;
+    auto without_orders =
+        wire::decode<snapshot_without_evacuation_orders>(bytes);
+    if (without_orders.ok())
+    {
+        out.without_manifests = std::move(without_orders->without_manifests);
+        out.manifests = std::move(without_orders->manifests);
+        return out;
+    }
     auto without_manifests = wire::decode<snapshot_without_manifests>(bytes);
     if (without_manifests.ok())
     {
@@ -109,6 +131,8 @@
         return manifests_.apply_manifest(decoded->body);
     case command_kind::evacuation:
         return manifests_.apply_evacuation(decoded->body);
+    case command_kind::evacuation_change:
+        return manifests_.apply_evacuation_change(decoded->body);
     case command_kind::barrier:
         return wire::encode(manifests_.status());
     }
@@ -165,7 +189,8 @@
     return wire::encode(snapshot_body{
         {{resources_.snapshot(), ledger_.snapshot(), replicas_},
          replica_order_},
-        manifests_});
+        manifests_,
+        manifests_.evacuation_orders()});
 }
 
 absl::Status control_state_machine::install_snapshot(std::string_view bytes)
@@ -205,6 +230,7 @@
     replicas_ = std::move(without_replica_order.replicas);
     replica_order_ = std::move(order);
     manifests_ = std::move(body->manifests);
+    manifests_.set_evacuation_orders(std::move(body->evacuation_orders));
     return absl::OkStatus();
 }
 
--- a/Libraries/LibControl/fleet_control.hpp
+++ b/Libraries/LibControl/fleet_control.hpp
@@ -7,6 +7,7 @@
 // also owns the replica of the log. Other threads read published snapshots and
 // post requests.
 
+#include <LibControl/evacuation_orders.hpp>
 #include <LibControl/manifest_store.hpp>
 #include <LibControl/proposal_client.hpp>
 #include <LibControl/replica_driver.hpp>
@@ -68,6 +69,7 @@
                             public fleet::suspect_sink,
                             public fleet::leave_sink,
                             public rate::credit_lender,
+                            public evacuation_log,
                             public replica_environment,
                             public fleet_source
 {
@@ -102,14 +104,22 @@
     /// if the newest version can't be determined, NOT_FOUND if there is none.
     void read_manifest(document_handler done);
 
-    /// Returns errors as put_manifest() does.
+    // evacuation_log
+    void read_evacuation_order(
+        std::string data_center, revision_handler done) override;
     void
-    set_evacuation(std::string data_center, bool active, status_handler done);
+    change_evacuation(evacuation_change change, change_handler done) override;
 
-    /// Records that an upstream registered or is leaving. Only on a control
-    /// VM.
+    /// Records that an upstream registered. Only on a control VM, as leave().
     void announce(fleet::upstream_row row);
-    void leave(std::string upstream);
+
+    /// Records that an incarnation of an upstream, and earlier ones, are
+    /// leaving. A departure that names none means the one that is listed; it
+    /// is ignored if its caller is gone, as it may be older than that one.
+    /// `caller_waits` is called at once.
+    void leave(
+        std::string upstream, std::optional<std::uint64_t> incarnation,
+        const std::function<bool()>& caller_waits);
 
     /// Sets the load of this VM that the next reports carry.
     void set_loads(std::vector<fleet::load_row> loads) override;
--- a/Libraries/LibControl/fleet_control_calls.cpp
+++ b/Libraries/LibControl/fleet_control_calls.cpp
@@ -20,6 +20,8 @@
 /// Shorter than the request timeout of operators.
 constexpr std::chrono::milliseconds read_timeout{900};
 constexpr std::chrono::milliseconds apply_poll_interval{20};
+/// Identifiers of other writers may be as long as a request's head.
+constexpr std::size_t max_logged_id_bytes = 64;
 
 absl::Status status_of(const absl::StatusOr<std::string>& result)
 {
@@ -132,24 +134,32 @@
     });
 }
 
-void fleet_control::set_evacuation(
-    std::string data_center, bool active, status_handler done)
+void fleet_control::read_evacuation_order(
+    std::string data_center, revision_handler done)
 {
     boost::asio::post(
-        io_, [this, data_center = std::move(data_center), active,
-              done = std::move(done)] {
+        io_,
+        [this, data_center = std::move(data_center), done = std::move(done)] {
+            done(
+                replica_
+                    ? replica_->state().manifests().evacuation_order_revision(
+                          data_center)
+                    : 0);
+        });
+}
+
+void fleet_control::change_evacuation(
+    evacuation_change change, change_handler done)
+{
+    boost::asio::post(
+        io_, [this, change = std::move(change), done = std::move(done)] {
             proposals_->propose(
-                command_kind::evacuation,
-                wire::encode(evacuation_command{data_center, active}),
+                command_kind::evacuation_change, wire::encode(change),
                 propose_timeout,
-                [data_center, active,
-                 done](const absl::StatusOr<std::string>& result) {
-                    LOG(INFO)
-                        << core::log_line("evacuation_proposed")
-                               .with("data_center", data_center)
-                               .with("active", active ? 1 : 0)
-                               .with("outcome", status_of(result).ToString());
-                    done(status_of(result));
+                [done](const absl::StatusOr<std::string>& result) {
+                    done(
+                        result.ok() ? wire::decode<evacuation_result>(*result)
+                                    : result.status());
                 });
         });
 }
@@ -167,11 +177,35 @@
     });
 }
 
-void fleet_control::leave(std::string upstream)
+void fleet_control::leave(
+    std::string upstream, std::optional<std::uint64_t> incarnation,
+    const std::function<bool()>& caller_waits)
 {
-    boost::asio::post(io_, [this, upstream = std::move(upstream)] {
-        if (upstreams_.leave(upstream, clock_->now()) ==
-            fleet::upstream_table::change::none)
+    if (!incarnation)
+    {
+        const auto listed = view()->fleet;
+        const auto found = listed->upstreams.find(upstream);
+        if (found != listed->upstreams.end())
+        {
+            incarnation = found->second.incarnation;
+        }
+        // NOTE: After the incarnation is known, which is not a later start
+        // then.
+        if (!caller_waits())
+        {
+            LOG_EVERY_N(WARNING, 20)
+                << core::log_line("departure_abandoned")
+                       .with(
+                           "upstream", upstream.substr(0, max_logged_id_bytes));
+            return;
+        }
+    }
+    boost::asio::post(io_, [this, upstream = std::move(upstream), incarnation] {
+        const auto now = clock_->now();
+        const auto change = incarnation
+                                ? upstreams_.leave(upstream, *incarnation, now)
+                                : upstreams_.leave(upstream, now);
+        if (change == fleet::upstream_table::change::none)
         {
             return;
         }
--- a/Libraries/LibControl/manifest_store.cpp
+++ b/Libraries/LibControl/manifest_store.cpp
@@ -50,13 +50,47 @@
                    << decoded.status().ToString() << "\"";
         return wire::encode(status());
     }
-    const bool changed = decoded->active
-                             ? evacuated_.insert(decoded->data_center).second
-                             : evacuated_.erase(decoded->data_center) > 0;
-    evacuation_revision_ += changed ? 1 : 0;
+    set_evacuated(decoded->data_center, decoded->active);
     return wire::encode(status());
 }
 
+std::string manifest_store::apply_evacuation_change(std::string_view command)
+{
+    const auto decoded = wire::decode<evacuation_change>(command);
+    if (!decoded.ok())
+    {
+        LOG(ERROR) << "evacuation_change_malformed error=\""
+                   << decoded.status().ToString() << "\"";
+        return wire::encode(evacuation_result{});
+    }
+    const auto& data_center = decoded->data_center;
+    const bool is_current =
+        decoded->based_on == evacuation_order_revision(data_center);
+    const bool alters = evacuated_.contains(data_center) != decoded->active;
+    const bool applied = is_current || !alters;
+    if (applied)
+    {
+        set_evacuated(data_center, decoded->active);
+        ++evacuation_orders_[data_center];
+    }
+    return wire::encode(
+        evacuation_result{applied, evacuation_order_revision(data_center)});
+}
+
+std::uint64_t
+manifest_store::evacuation_order_revision(const std::string& it) const
+{
+    const auto found = evacuation_orders_.find(it);
+    return found == evacuation_orders_.end() ? 0 : found->second;
+}
+
+void manifest_store::set_evacuated(const std::string& data_center, bool active)
+{
+    const bool changed = active ? evacuated_.insert(data_center).second
+                                : evacuated_.erase(data_center) > 0;
+    evacuation_revision_ += changed ? 1 : 0;
+}
+
 absl::StatusOr<std::string> pack_document(std::string_view document)
 {
     if (document.size() > max_document_bytes)
--- a/Libraries/LibHttp/exchange.cpp
+++ b/Libraries/LibHttp/exchange.cpp
@@ -10,7 +10,9 @@
 #include <boost/beast/http/chunk_encode.hpp>
 #include <boost/beast/http/serializer.hpp>
 #include <boost/beast/http/write.hpp>
+#include <sys/socket.h>
 
+#include <cerrno>
 #include <utility>
 
 namespace hyssoploft::http {
@@ -27,6 +29,16 @@
         core::concat("write to caller: ", ec.message()));
 }
 
+bool is_open_at_peer(beast::tcp_stream& stream)
+{
+    char c = 0;
+    const auto n =
+        ::recv(stream.socket().native_handle(), &c, 1, MSG_PEEK | MSG_DONTWAIT);
+    // A caller that resets the connection is gone as well.
+    return n > 0 || (n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK ||
+                               errno == EINTR));
+}
+
 } // namespace
 
 exchange::exchange(
@@ -95,6 +107,11 @@
     }
 }
 
+bool exchange::caller_waits() const
+{
+    return !gone_ && is_open_at_peer(stream_);
+}
+
 void exchange::set_caller_gone()
 {
     gone_ = true;
--- a/Libraries/LibHttp/exchange.hpp
+++ b/Libraries/LibHttp/exchange.hpp
@@ -108,6 +108,11 @@
         return gone_;
     }
 
+    /// Asks the system whether the caller still has the connection open, so
+    /// that the answer is right also where the event of its close is queued,
+    /// as after a pause of the process. Call it on the exchange's thread.
+    bool caller_waits() const;
+
 private:
     beast::tcp_stream& stream_;
     connection_pool& pool_;
--- a/Libraries/LibHttp/server_session.cpp
+++ b/Libraries/LibHttp/server_session.cpp
@@ -10,9 +10,6 @@
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 #include <glog/logging.h>
-#include <sys/socket.h>
-
-#include <cerrno>
 
 #include <exception>
 #include <utility>
@@ -34,16 +31,6 @@
     return bhttp::status::bad_request;
 }
 
-bool peer_closed(beast::tcp_stream& stream)
-{
-    char c = 0;
-    const auto n =
-        ::recv(stream.socket().native_handle(), &c, 1, MSG_PEEK | MSG_DONTWAIT);
-    // A caller that resets the connection is gone as well.
-    return n == 0 ||
-           (n < 0 && errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR);
-}
-
 } // namespace
 
 server_session::server_session(
@@ -208,7 +195,7 @@
          weak = std::weak_ptr<exchange>(it)](const error_code& ec) {
             const auto current = weak.lock();
             // Readable without being closed: the next request is pipelined.
-            if (!ec && current && peer_closed(self->stream_))
+            if (!ec && current && !current->caller_waits())
             {
                 current->set_caller_gone();
             }
--- a/Tests/LibControl/manifest_store.cpp
+++ b/Tests/LibControl/manifest_store.cpp
@@ -6,7 +6,10 @@
 
 #include <doctest.h>
 
+#include <map>
 #include <string>
+#include <utility>
+#include <vector>
 
 namespace hyssoploft::tests {
 
@@ -34,6 +37,29 @@
         wire::encode(control::evacuation_command{data_center, active}));
 }
 
+std::string
+change(const std::string& data_center, bool active, std::uint64_t based_on)
+{
+    return command(
+        command_kind::evacuation_change,
+        wire::encode(
+            control::evacuation_change{data_center, active, based_on}));
+}
+
+/// The innermost part of a snapshot, as all builds write it.
+struct earlier_replicas
+{
+    std::string resources;
+    std::string ledger;
+    std::map<std::uint64_t, std::string> replicas;
+
+    template <typename Archive>
+    void serialize(Archive& archive)
+    {
+        archive(resources, ledger, replicas);
+    }
+};
+
 control::manifest_status status_of(const std::string& result)
 {
     return wire::decode<control::manifest_status>(result).value();
@@ -109,4 +135,39 @@
                     .ok());
 }
 
+// Replicas that took a snapshot and replicas that replayed the log must agree
+// on which orders are outdated.
+TEST_CASE("snapshots contain the order revisions of data centres")
+{
+    control::control_state_machine from;
+    from.apply(1, evacuate("a", true));
+    from.apply(2, change("a", false, 0));
+    from.apply(3, change("a", false, 1));
+    control::control_state_machine to;
+    REQUIRE(to.install_snapshot(from.take_snapshot()).ok());
+    CHECK(to.manifests().evacuation_order_revision("a") == 2);
+    CHECK(to.manifests().evacuation_order_revision("b") == 0);
+    CHECK(to.take_snapshot() == from.take_snapshot());
+}
+
+// Guards against replicas that diverge after an upgrade: snapshots of earlier
+// builds have no order revisions, so entries of earlier builds count none.
+TEST_CASE("evacuations that an earlier build logged have no order revision")
+{
+    control::control_state_machine replayed;
+    replayed.apply(1, evacuate("a", true));
+    CHECK(replayed.manifests().evacuation_order_revision("a") == 0);
+    const auto before = wire::encode(std::pair(
+        std::pair(
+            earlier_replicas{
+                replayed.resources().snapshot(), replayed.records().snapshot(),
+                replayed.replicas()},
+            std::vector<std::uint64_t>{}),
+        replayed.manifests()));
+    control::control_state_machine restored;
+    REQUIRE(restored.install_snapshot(before).ok());
+    CHECK(restored.manifests().evacuated().contains("a"));
+    CHECK(restored.take_snapshot() == replayed.take_snapshot());
+}
+
 } // namespace hyssoploft::tests
--- a/Tests/LibHttp/server_client.cpp
+++ b/Tests/LibHttp/server_client.cpp
@@ -46,6 +46,16 @@
                 asio::redirect_error(asio::use_awaitable, ec));
             co_return;
         }
+        if (it.message().target() == "/blocked")
+        {
+            // Like a process that stands still: no event is handled.
+            blocked.set_value();
+            go_on.get_future().wait();
+            waits.set_value(it.caller_waits());
+            (void)co_await it.respond(
+                http::response(http::bhttp::status::ok, 11));
+            co_return;
+        }
         if (it.message().target() == "/then")
         {
             (void)co_await it.respond(
@@ -74,6 +84,9 @@
     }
 
     std::promise<void> gone;
+    std::promise<void> blocked; ///< Of "/blocked", as the next two.
+    std::promise<void> go_on;
+    std::promise<bool> waits;
     std::function<void()> after_answer; ///< Of "/then".
 };
 
@@ -407,6 +420,29 @@
         std::future_status::ready);
 }
 
+// Guards against an order that is acted on after its caller has given it up,
+// because the process stood still and has not handled the close.
+TEST_CASE("after a pause the handler can tell whether its caller still waits")
+{
+    for (const bool closes : {false, true})
+    {
+        CAPTURE(closes);
+        fixture it;
+        asio::io_context context;
+        tcp::socket socket(context);
+        socket.connect(*http::parse_endpoint(it.address));
+        asio::write(
+            socket, asio::buffer(std::string("GET /blocked HTTP/1.1\r\n\r\n")));
+        it.handler->blocked.get_future().wait();
+        if (closes)
+        {
+            socket.close();
+        }
+        it.handler->go_on.set_value();
+        CHECK(it.handler->waits.get_future().get() == !closes);
+    }
+}
+
 TEST_CASE("addresses are IP numbers with a port")
 {
     for (const auto* it :
--- a/Tests/platform/upstream_announcement.cpp
+++ b/Tests/platform/upstream_announcement.cpp
@@ -5,6 +5,8 @@
 #include <doctest.h>
 
 #include <chrono>
+#include <cstdint>
+#include <optional>
 #include <string>
 #include <utility>
 
@@ -194,3 +196,30 @@
               std::string(256, 'i'), sound, regions, started)
               .ok());
 }
+
+// Guards against a departure that is applied to a later start of its upstream.
+TEST_CASE("a departure names an incarnation or none")
+{
+    struct row
+    {
+        std::string body;
+        std::optional<std::uint64_t> incarnation;
+    };
+    const row rows[] = {
+        {R"({"born":1700000000000})", 1'700'000'000'000},
+        {R"({"born":1700000000000,"seq":4})", 1'700'000'000'000},
+        {R"({"seq":4})", std::nullopt},
+        {R"({"born":"x"})", std::nullopt},
+        {R"({"born":-1})", std::nullopt},
+        {R"({"born":1.5})", std::nullopt},
+        {R"({"born":1e300})", std::nullopt},
+        {R"([1])", std::nullopt},
+        {"", std::nullopt},
+        {"{", std::nullopt},
+    };
+    for (const auto& row : rows)
+    {
+        CAPTURE(row.body);
+        CHECK(platform::decode_departure(row.body) == row.incarnation);
+    }
+}
