LibRelay: Answer open requests before a planned stop ends

What callers saw: in a planned stop, requests that a VM had taken and passed on were cut at the end of the grace time with no answer, orders that may not be repeated among them.

Cause: a VM that leaves takes requests for 2.9 s; what was still open 0.4 s before the end of the grace time was left to the end of the process.

Change: leave_sequence has a phase in which open requests fail. end_open_runs() cancels their attempts; each caller gets its final answer, 502 if an upstream may have run the request and 503 if none did, and nothing is sent to an upstream any more. Streams that have begun are cut as before.

Tests/LibRelay/planned_stop.cpp fails in 12 checks without end_open_runs() and passes with it. Requests after 2.9 s were refused before, too.

--- a/Libraries/LibRelay/leave_sequence.cpp
+++ b/Libraries/LibRelay/leave_sequence.cpp
@@ -6,6 +6,13 @@
 
 namespace hyssoploft::relay {
 
+namespace {
+
+/// Answers of failed requests take a few milliseconds.
+constexpr core::duration failing_step = std::chrono::milliseconds(20);
+
+} // namespace
+
 void leave_sequence::begin(core::time_point now)
 {
     if (phase_ == leave_phase::serving)
@@ -36,10 +43,22 @@
     }
     const bool is_quiet = phase_ == leave_phase::refusing &&
                           now - last_open_ >= settings_.quiet_for;
-    if (is_quiet || now - began_ >= settings_.stop_after)
+    if (is_quiet)
     {
         phase_ = leave_phase::stopped;
+        return phase_;
     }
+    if (now - began_ < settings_.stop_after)
+    {
+        return phase_;
+    }
+    const bool is_over =
+        now - began_ >= settings_.stop_after + settings_.fail_for;
+    // Not in the first step: open requests have just been told to fail.
+    const bool all_failed =
+        phase_ == leave_phase::failing && open_requests == 0;
+    phase_ =
+        is_over || all_failed ? leave_phase::stopped : leave_phase::failing;
     return phase_;
 }
 
@@ -50,6 +69,10 @@
     {
         return limit;
     }
+    if (phase_ == leave_phase::failing)
+    {
+        return std::min(limit, failing_step);
+    }
     const auto end =
         began_ + (phase_ == leave_phase::accepting ? settings_.accept_for
                                                    : settings_.stop_after);
--- a/Libraries/LibRelay/leave_sequence.hpp
+++ b/Libraries/LibRelay/leave_sequence.hpp
@@ -2,7 +2,9 @@
 #define HYSSOPLOFT_LIBRELAY_LEAVE_SEQUENCE_HPP
 
 // Phases of a planned stop: a VM goes on accepting until callers have learned
-// of other VMs, then refuses, and ends once nothing is left to answer.
+// of other VMs, then refuses, and ends once nothing is left to answer. What is
+// still open near the end of the grace time is answered with a failure, as a
+// caller learns nothing from a connection that ends.
 //
 // Reads no clock and does no I/O.
 
@@ -19,13 +21,15 @@
     serving,
     accepting, ///< Leaves, and still takes new requests.
     refusing,  ///< Takes no new requests; finishes those that it has.
+    failing,   ///< Answers what is left with a failure.
     stopped    ///< The process may end.
 };
 
-inline constexpr core::enum_table<leave_phase, 4> leave_phase_names{
+inline constexpr core::enum_table<leave_phase, 5> leave_phase_names{
     {{leave_phase::serving, "serving"},
      {leave_phase::accepting, "accepting"},
      {leave_phase::refusing, "refusing"},
+     {leave_phase::failing, "failing"},
      {leave_phase::stopped, "stopped"}}};
 
 struct leave_settings
@@ -34,7 +38,10 @@
     /// Without an open request for this time, requests that are on their way
     /// are taken to go elsewhere.
     core::duration quiet_for{};
-    core::duration stop_after{}; ///< Ends even with requests open.
+    /// From the start of the stop; requests that are still open fail.
+    core::duration stop_after{};
+    /// For their answers. 0: the process ends at once.
+    core::duration fail_for{};
 };
 
 class leave_sequence
--- a/Libraries/LibRelay/relay_run.cpp
+++ b/Libraries/LibRelay/relay_run.cpp
@@ -80,11 +80,9 @@
 {
     // Keeps this object alive while handlers of the exchange refer to it.
     const auto self = shared_from_this();
+    services_.open_runs.insert(this);
     caller_.on_caller_gone([this] {
-        if (current_attempt_)
-        {
-            current_attempt_->cancel();
-        }
+        cancel_attempt();
     });
     for (;;)
     {
@@ -93,7 +91,7 @@
             outcome_ = "caller_gone";
             break;
         }
-        if (time_left() < min_time_left)
+        if (time_left() < min_time_left || services_.is_ending)
         {
             co_await send_final_answer(std::nullopt);
             break;
@@ -146,6 +144,7 @@
         }
     }
     caller_.on_caller_gone(nullptr);
+    services_.open_runs.erase(this);
     release_reservation();
     if (terms_.reserved && attempt_counts_.executions == 0)
     {
@@ -154,6 +153,23 @@
     write_log();
 }
 
+void relay_run::cancel_attempt()
+{
+    if (current_attempt_)
+    {
+        current_attempt_->cancel();
+    }
+}
+
+void end_open_runs(relay_services& services)
+{
+    services.is_ending = true;
+    for (auto* it : services.open_runs)
+    {
+        it->cancel_attempt();
+    }
+}
+
 std::optional<gateway::refusal>
 relay_run::check_admission(const fleet::traffic_view& view)
 {
@@ -408,7 +424,8 @@
             "no complete answer was received from the upstream"));
         co_return;
     }
-    const auto reason = refused ? reason_of(refused->refusal)
+    const auto reason = refused               ? reason_of(refused->refusal)
+                        : services_.is_ending ? refusal_reason::shutting_down
                         : time_left() < min_time_left
                             ? refusal_reason::deadline_too_near
                             : refusal_reason::upstreams_busy;
--- a/Libraries/LibRelay/relay_run.hpp
+++ b/Libraries/LibRelay/relay_run.hpp
@@ -39,6 +39,10 @@
 
     http::asio::awaitable<void> run();
 
+    /// Cancels the current attempt. With relay_services::is_ending set, the
+    /// caller gets the final answer.
+    void cancel_attempt();
+
 private:
     /// Action after an attempt.
     enum class next_step : std::uint8_t
@@ -142,6 +146,10 @@
     bool is_suspect_ = false;
 };
 
+/// Ends all requests of a VM that stops: each gets an answer, except for
+/// streams that have begun. Call on the traffic thread.
+void end_open_runs(relay_services& services);
+
 } // namespace hyssoploft::relay
 
 #endif
--- a/Libraries/LibRelay/relay_run_repeat.cpp
+++ b/Libraries/LibRelay/relay_run_repeat.cpp
@@ -66,6 +66,10 @@
 
 bool relay_run::should_rerun()
 {
+    if (services_.is_ending)
+    {
+        return false;
+    }
     // A reservation was charged to the budget.
     if (reserved_)
     {
--- a/Libraries/LibRelay/relay_services.hpp
+++ b/Libraries/LibRelay/relay_services.hpp
@@ -34,6 +34,8 @@
     core::duration window = std::chrono::seconds(10);
 };
 
+class relay_run;
+
 struct relay_services
 {
     std::string vm;
@@ -55,6 +57,9 @@
     request_log log;
     /// Set by the shutdown thread.
     std::atomic<bool> is_draining{false};
+    /// Requests get their final answer now: the process is about to end.
+    bool is_ending = false;
+    std::set<relay_run*> open_runs; ///< Each from start to end of its run().
 };
 
 /// The retry budget of a role, with this VM's part of the fleet-wide slack.
--- a/Services/hyssoploft/fleet_process.cpp
+++ b/Services/hyssoploft/fleet_process.cpp
@@ -10,6 +10,7 @@
 #include <LibCore/log_line.hpp>
 #include <LibCore/text.hpp>
 #include <LibRelay/relay_handler.hpp>
+#include <LibRelay/relay_run.hpp>
 
 #include <boost/asio/post.hpp>
 #include <glog/logging.h>
@@ -35,8 +36,10 @@
 constexpr std::chrono::milliseconds accept_while_leaving{2900};
 /// Covers a request that was on its way when callers learned of other VMs.
 constexpr std::chrono::milliseconds quiet_before_stop{250};
-/// Kept free at the end of the time that the platform gives.
-constexpr std::chrono::milliseconds stop_margin{400};
+/// Kept free at the end of the time that the platform gives: the answers of
+/// requests that are still open, and the end of the process.
+constexpr std::chrono::milliseconds fail_margin{400};
+constexpr std::chrono::milliseconds stop_margin{150};
 /// A control VM hands over leadership and finishes calls meanwhile.
 constexpr std::chrono::milliseconds control_leaving{1000};
 /// Part of the slack on rates that VMs use as additional burst; the rest
@@ -113,7 +116,8 @@
     leave_ = std::make_unique<relay::leave_sequence>(relay::leave_settings{
         settings_.entry_address.empty() ? control_leaving
                                         : accept_while_leaving,
-        quiet_before_stop, settings_.stop_grace - stop_margin});
+        quiet_before_stop, settings_.stop_grace - fail_margin,
+        fail_margin - stop_margin});
     traffic_ = std::make_shared<http::traffic_thread>();
     if (!settings_.control_address.empty())
     {
@@ -377,11 +381,21 @@
         return;
     }
     stopped_ = phase == relay::leave_phase::stopped;
-    LOG(INFO) << core::log_line(stopped_ ? "stopped" : "refusing_new_requests")
-                     .with("open_requests", open);
-    if (relay_)
+    const auto event = stopped_ ? "stopped"
+                       : phase == relay::leave_phase::failing
+                           ? "failing_open_requests"
+                           : "refusing_new_requests";
+    LOG(INFO) << core::log_line(event).with("open_requests", open);
+    if (!relay_)
     {
-        relay_->is_draining = true;
+        return;
+    }
+    relay_->is_draining = true;
+    if (phase == relay::leave_phase::failing)
+    {
+        boost::asio::post(traffic_->context(), [services = relay_] {
+            relay::end_open_runs(*services);
+        });
     }
 }
 
--- a/Tests/LibRelay/planned_stop.cpp
+++ b/Tests/LibRelay/planned_stop.cpp
@@ -88,6 +88,126 @@
     CHECK_EQ(it.time_to_next_phase(start + 7600ms, step), step);
 }
 
+// Failure: requests that were still open at the end of the grace time were cut
+// without an answer.
+TEST_CASE("a VM that leaves keeps time to answer what is still open")
+{
+    struct step
+    {
+        std::chrono::milliseconds at; // Since the start of the stop.
+        std::size_t open;
+        leave_phase expected;
+    };
+    struct row
+    {
+        std::string name;
+        std::vector<step> steps;
+    };
+    const row rows[] = {
+        {"answered",
+         {{7599ms, 2, leave_phase::refusing},
+          {7600ms, 2, leave_phase::failing},
+          {7620ms, 1, leave_phase::failing},
+          {7640ms, 0, leave_phase::stopped}}},
+        {"a caller that does not read its answer",
+         {{7600ms, 1, leave_phase::failing},
+          {7849ms, 1, leave_phase::failing},
+          {7850ms, 1, leave_phase::stopped}}},
+        {"paused before the end", {{9000ms, 1, leave_phase::stopped}}},
+        {"the last request ends shortly before",
+         {{7500ms, 0, leave_phase::refusing},
+          {7600ms, 0, leave_phase::failing},
+          {7620ms, 0, leave_phase::stopped}}},
+    };
+    const core::time_point start{100s};
+    for (const auto& row : rows)
+    {
+        CAPTURE(row.name);
+        relay::leave_sequence it({2900ms, 250ms, 7600ms, 250ms});
+        it.begin(start);
+        it.update(1, start + 7400ms);
+        for (const auto& step : row.steps)
+        {
+            CAPTURE(step.at.count());
+            CHECK(it.update(step.open, start + step.at) == step.expected);
+        }
+    }
+    relay::leave_sequence it({2900ms, 250ms, 7600ms, 250ms});
+    it.begin(start);
+    CHECK(it.update(1, start + 7600ms) == leave_phase::failing);
+    CHECK(it.time_to_next_phase(start + 7600ms, 250ms) <= 20ms);
+}
+
+// Guards against the same: what the callers of open requests get, and that
+// none of these is sent to another upstream.
+TEST_CASE("every open request is answered before the process ends")
+{
+    struct row
+    {
+        std::string name;
+        std::string path;
+        reply first;
+        unsigned status;
+    };
+    const auto half =
+        signed_answer(200, "whole").substr(0, signed_answer(200, "").size());
+    const row rows[] = {
+        {"an order", "/order/1", {"", after_reply::hold}, 502},
+        {"a call that may run twice", "/read/1", {"", after_reply::hold}, 502},
+        {"a stream without an event",
+         "/stream/1",
+         {"", after_reply::hold},
+         502},
+        {"a stream that may resume",
+         "/resume/1",
+         {signed_stream_head(), after_reply::hold},
+         502},
+        {"half an answer", "/order/1", {half, after_reply::hold}, 502},
+    };
+    for (const auto& row : rows)
+    {
+        CAPTURE(row.name);
+        relay_fixture it;
+        scripted_upstream second(it.state);
+        it.add_upstream("second", second.address());
+        it.set_busy("second");
+        it.upstream.set_replies({row.first});
+        second.set_replies({{signed_answer(200, "whole")}});
+        test_caller caller(it.address);
+        caller.send(relay_request(row.path, "a"));
+        CHECK(it.state.wait([&] {
+            return it.upstream.replies_sent == 1;
+        }));
+        it.end_open_runs();
+        const auto got = caller.read();
+        CHECK_EQ(got.status, row.status);
+        CHECK(got.whole);
+        it.state.with([&] {
+            CHECK_EQ(second.received.size(), 0);
+        });
+        // One that got past the refusals of new requests has not run.
+        const auto late = it.call(relay_request(row.path, "b"));
+        CHECK_EQ(late.status, 503);
+        it.state.with([&] {
+            CHECK_EQ(it.upstream.received.size(), 1);
+        });
+    }
+}
+
+TEST_CASE("a stream that has begun looks cut when the process ends")
+{
+    relay_fixture it;
+    it.upstream.set_replies(
+        {{signed_stream_head() + numbered_event(1), after_reply::hold}});
+    test_caller caller(it.address);
+    caller.send(relay_request("/resume/1", "a"));
+    CHECK(caller.read_until("part 1"));
+    it.end_open_runs();
+    const auto got = caller.read();
+    CHECK_EQ(got.status, 200);
+    CHECK_FALSE(got.whole);
+}
+
 TEST_CASE("requests count as open from their reading to their answer")
 {
     relay_fixture it;
--- a/Tests/LibRelay/relay_fixture.cpp
+++ b/Tests/LibRelay/relay_fixture.cpp
@@ -3,6 +3,7 @@
 #include "relay_fixture.hpp"
 
 #include <LibCore/text.hpp>
+#include <LibRelay/relay_run.hpp>
 
 #include <doctest.h>
 
@@ -352,6 +353,13 @@
     return it.read();
 }
 
+void relay_fixture::end_open_runs()
+{
+    http::asio::post(thread_->context(), [services = services] {
+        relay::end_open_runs(*services);
+    });
+}
+
 void relay_fixture::wait_idle() const
 {
     while (server->requests() > 0)
--- a/Tests/LibRelay/relay_fixture.hpp
+++ b/Tests/LibRelay/relay_fixture.hpp
@@ -170,6 +170,9 @@
 
     answer call(const std::string& text) const;
 
+    /// As at the end of a planned stop.
+    void end_open_runs();
+
     /// Waits until every request is answered and settled.
     void wait_idle() const;
 
