LibHttp: Bound the answers in progress by bytes

What callers saw: with an upstream that sends answers without end, their VM ran out of memory and all its requests ended with it.

Cause: each body is bounded by 4 MiB and each event by 256 KiB; all of them together were not bounded.

A call without room is closed at once; its caller gets 502 or another upstream.

--- a/Libraries/LibHttp/connection_pool.hpp
+++ b/Libraries/LibHttp/connection_pool.hpp
@@ -4,6 +4,7 @@
 // Idle keep-alive connections of one traffic thread. Not thread safe: it
 // belongs to the thread that runs its io_context.
 
+#include <LibCore/byte_budget.hpp>
 #include <LibHttp/types.hpp>
 
 #include <absl/status/statusor.h>
@@ -13,6 +14,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace hyssoploft::http {
@@ -60,6 +62,18 @@
 
     explicit connection_pool(asio::io_context& context) : context_(context) {}
 
+    /// Bounds the answers that calls over this pool hold in memory. Without a
+    /// budget there is a bound for each answer only.
+    void set_answer_budget(std::shared_ptr<core::byte_budget> budget)
+    {
+        answer_budget_ = std::move(budget);
+    }
+
+    const std::shared_ptr<core::byte_budget>& answer_budget() const
+    {
+        return answer_budget_;
+    }
+
     /// An idle connection to "IP:port", or a new one. `fresh` asks for a new
     /// one: a reused connection may be closed by its peer while a request is
     /// on its way, and it is then unknown whether the request ran.
@@ -84,6 +98,7 @@
     static constexpr std::size_t max_idle_per_address = 64;
 
     asio::io_context& context_;
+    std::shared_ptr<core::byte_budget> answer_budget_; // May be null.
     std::map<std::string, std::vector<std::unique_ptr<connection>>> idle_;
 };
 
--- a/Libraries/LibHttp/http_client.cpp
+++ b/Libraries/LibHttp/http_client.cpp
@@ -70,6 +70,7 @@
     std::chrono::nanoseconds timeout)
 {
     const auto began = std::chrono::steady_clock::now();
+    held_ = core::byte_reservation(pool_.answer_budget(), address);
     auto acquired = co_await pool_.acquire(
         address, fresh_connection, std::min(timeout, connect_timeout),
         identifier_);
@@ -230,16 +231,29 @@
         {
             co_return all;
         }
-        if (all.size() + piece->size() > limit)
+        const auto size = all.size() + piece->size();
+        if (size > limit)
         {
             cancel();
             co_return absl::ResourceExhaustedError(
                 core::concat("answer of more than ", limit, " bytes"));
         }
+        // The text's memory grows by doubling.
+        if (!hold_bytes(std::max(size, all.capacity())))
+        {
+            cancel();
+            co_return absl::ResourceExhaustedError(core::concat(
+                "no memory for the answer after ", all.size(), " bytes"));
+        }
         all += *piece;
     }
 }
 
+bool http_call::hold_bytes(std::size_t n)
+{
+    return held_.resize(n);
+}
+
 void http_call::cancel()
 {
     cancelled_ = true;
--- a/Libraries/LibHttp/http_client.hpp
+++ b/Libraries/LibHttp/http_client.hpp
@@ -100,10 +100,15 @@
     read_some(std::chrono::nanoseconds timeout);
 
     /// The rest of the body, all of it within `timeout`. RESOURCE_EXHAUSTED
-    /// above `limit` bytes.
+    /// above `limit` bytes, or if the pool's budget has no room for them. The
+    /// bytes are charged until the end of this object.
     asio::awaitable<absl::StatusOr<std::string>>
     read_all(std::size_t limit, std::chrono::nanoseconds timeout);
 
+    /// Charges the pool's budget for bytes of the answer that are kept
+    /// elsewhere. False if there is no room.
+    bool hold_bytes(std::size_t n);
+
     /// Ends the call from another coroutine of the same thread; the
     /// connection is closed, which upstreams take as a cancellation.
     void cancel();
@@ -139,7 +144,8 @@
     std::optional<bhttp::response_parser<bhttp::buffer_body>> parser_;
     std::chrono::milliseconds silence_timeout_ =
         connection::default_silence_timeout;
-    std::string identifier_; // Empty: not known.
+    std::string identifier_;      // Empty: not known.
+    core::byte_reservation held_; // Of the answer, for its sender.
     call_stage stage_ = call_stage::connecting;
     bool cancelled_ = false;
     bool reused_ = false;
--- a/Libraries/LibRelay/event_framer.hpp
+++ b/Libraries/LibRelay/event_framer.hpp
@@ -36,6 +36,12 @@
         return event_count_;
     }
 
+    /// Bytes of an incomplete event that are buffered.
+    std::size_t pending() const
+    {
+        return pending_bytes_.size();
+    }
+
     /// True if no incomplete event is buffered.
     bool at_boundary() const
     {
--- a/Libraries/LibRelay/relay_run.cpp
+++ b/Libraries/LibRelay/relay_run.cpp
@@ -283,11 +283,17 @@
 
 void relay_run::record_break(const absl::Status& status)
 {
-    const auto reason = absl::IsDeadlineExceeded(status) ? "silent"
-                        : reserved_                      ? "silent"
-                        : absl::IsCancelled(status)      ? "cancelled"
-                                                         : "broken";
+    const auto reason = absl::IsDeadlineExceeded(status)    ? "silent"
+                        : reserved_                         ? "silent"
+                        : absl::IsCancelled(status)         ? "cancelled"
+                        : absl::IsResourceExhausted(status) ? "too_large"
+                                                            : "broken";
     attempts_text_ += core::concat(":", reason);
+    if (absl::IsResourceExhausted(status))
+    {
+        services_.metrics->get_counter("hyssoploft_answers_too_large_total")
+            .add();
+    }
 }
 
 http::asio::awaitable<relay_run::next_step> relay_run::attempt(
--- a/Libraries/LibRelay/relay_run_forward.cpp
+++ b/Libraries/LibRelay/relay_run_forward.cpp
@@ -37,7 +37,8 @@
             co_return next_step::done;
         }
         if (last_end_ == placement_outcome::broken && !reserved_ &&
-            !absl::IsDeadlineExceeded(body.status()))
+            !absl::IsDeadlineExceeded(body.status()) &&
+            !absl::IsResourceExhausted(body.status()))
         {
             record_prompt_crash();
         }
@@ -93,6 +94,11 @@
         const bool ended = bytes.ok() && bytes->empty();
         auto events = bytes.ok() ? framer_.feed(*bytes)
                                  : absl::StatusOr<std::string>(bytes.status());
+        if (events.ok() && !from.hold_bytes(framer_.pending() + held.size()))
+        {
+            from.cancel();
+            events = absl::ResourceExhaustedError("no memory for the event");
+        }
         if (!events.ok() || (ended && !framer_.at_boundary()))
         {
             framer_.drop_partial();
@@ -109,7 +115,8 @@
                 co_return next_step::done;
             }
             if (!is_answered && last_end_ == placement_outcome::broken &&
-                !reserved_ && !absl::IsDeadlineExceeded(events.status()))
+                !reserved_ && !absl::IsDeadlineExceeded(events.status()) &&
+                !absl::IsResourceExhausted(events.status()))
             {
                 record_prompt_crash();
             }
--- a/Libraries/LibRelay/upstream_attempt.hpp
+++ b/Libraries/LibRelay/upstream_attempt.hpp
@@ -70,6 +70,13 @@
         return call_.read_all(http::max_answer_body_bytes, limit);
     }
 
+    /// Charges for bytes of a stream that wait for the rest of an event. False
+    /// if there is no memory for them.
+    bool hold_bytes(std::size_t n)
+    {
+        return call_.hold_bytes(n);
+    }
+
     /// Cancels the call from another coroutine of the same thread.
     void cancel()
     {
--- a/Services/hyssoploft/fleet_process.cpp
+++ b/Services/hyssoploft/fleet_process.cpp
@@ -45,6 +45,11 @@
 /// Part of the slack on rates that VMs use as additional burst; the rest
 /// covers calls that wait on their way.
 constexpr double used_rate_slack = 0.8;
+/// Part of the process's memory that answers in progress may take; the rest is
+/// for requests, connections and the state of the fleet.
+constexpr double answer_memory_share = 0.25;
+/// Part of it that the answers of one upstream, or of one VM, may take.
+constexpr double answer_share_of_sender = 0.25;
 /// Descriptors that remain for files, peers and upstreams.
 constexpr std::size_t max_callers = 2500;
 /// Parts of the fleet's own key identifiers.
@@ -119,6 +124,7 @@
         quiet_before_stop, settings_.stop_grace - fail_margin,
         fail_margin - stop_margin});
     traffic_ = std::make_shared<http::traffic_thread>();
+    set_answer_budget();
     if (!settings_.control_address.empty())
     {
         auto status = add_server(
@@ -152,6 +158,22 @@
     return settings_.entry_address.empty() ? absl::OkStatus() : open_entry();
 }
 
+void fleet_process::set_answer_budget()
+{
+    const auto bytes = static_cast<double>(settings_.memory_bytes);
+    if (bytes <= 0)
+    {
+        return;
+    }
+    const auto limit = bytes * answer_memory_share;
+    const auto budget = std::make_shared<core::byte_budget>(
+        static_cast<std::size_t>(limit),
+        static_cast<std::size_t>(limit * answer_share_of_sender));
+    boost::asio::post(traffic_->context(), [traffic = traffic_.get(), budget] {
+        traffic->pool().set_answer_budget(budget);
+    });
+}
+
 absl::Status fleet_process::open_control()
 {
     control::fleet_options out;
--- a/Services/hyssoploft/fleet_process.hpp
+++ b/Services/hyssoploft/fleet_process.hpp
@@ -49,6 +49,7 @@
     fleet_process();
 
     absl::Status open(const fleet_process_options& options);
+    void set_answer_budget();
     absl::Status open_control();
     absl::Status open_entry();
     absl::Status add_server(
--- a/Tests/LibRelay/relay_fixture.cpp
+++ b/Tests/LibRelay/relay_fixture.cpp
@@ -353,6 +353,13 @@
     return it.read();
 }
 
+void relay_fixture::set_answer_budget(std::shared_ptr<core::byte_budget> budget)
+{
+    http::asio::post(thread_->context(), [thread = thread_.get(), budget] {
+        thread->pool().set_answer_budget(budget);
+    });
+}
+
 void relay_fixture::end_open_runs()
 {
     http::asio::post(thread_->context(), [services = services] {
--- a/Tests/LibRelay/relay_fixture.hpp
+++ b/Tests/LibRelay/relay_fixture.hpp
@@ -170,6 +170,9 @@
 
     answer call(const std::string& text) const;
 
+    /// Bounds the answers in memory, as a VM's settings do.
+    void set_answer_budget(std::shared_ptr<core::byte_budget> budget);
+
     /// As at the end of a planned stop.
     void end_open_runs();
 
