LibFleet: Obey the Retry-After of an upstream's 503

Change: paused_upstreams keeps the pause of a pair of VM and incarnation, at most 60 s, never shortened. The router leaves such upstreams out, also as a last resort, and the attempt asks again next to the send. A caller that no other upstream can serve is refused at once with the end of the first pause and a random addition. After the end calls return in steps over a second. A 503 without a statement still promises nothing. Values that can't be read are logged and count as none.

--- a/Libraries/LibRelay/call_codec.hpp
+++ b/Libraries/LibRelay/call_codec.hpp
@@ -51,6 +51,8 @@
     bool has_content_encoding = false; ///< The body has a content encoding.
     bool signed_by_upstream = false;
     bool upstream_leaves = false; ///< It wants no new calls from now on.
+    /// It wants no calls of this VM for this time. Only with status 503.
+    std::optional<core::duration> pause;
 };
 
 class call_codec
--- a/Libraries/LibRelay/upstream_attempt.cpp
+++ b/Libraries/LibRelay/upstream_attempt.cpp
@@ -96,6 +96,9 @@
         found->second.address == address_ &&
         !services_.router->leaving().contains(
             target.upstream, found->second.incarnation) &&
+        services_.router->pauses().ends_at(
+            target.upstream, found->second.incarnation,
+            services_.clock->now()) <= services_.clock->now() &&
         !view->evacuated.contains(found->second.data_center);
     if (!is_usable)
     {
@@ -110,21 +113,31 @@
 {
     // A VM that forwarded the call obeys its upstream itself. Another upstream
     // that uses the address now is not the one that was called.
-    if (upstream_.empty() || !parsed_answer_.upstream_leaves ||
-        parsed_answer_.is_address_reused)
+    if (upstream_.empty() || parsed_answer_.is_address_reused)
     {
         return;
     }
     const auto now = services_.clock->now();
-    if (!services_.router->leaving().add(upstream_, incarnation_, now))
+    const auto pause = parsed_answer_.pause;
+    if (pause &&
+        services_.router->pauses().add(upstream_, incarnation_, *pause, now))
     {
-        return;
+        LOG(INFO) << core::log_line("upstream_pauses")
+                         .with("upstream", upstream_)
+                         .with("incarnation", incarnation_)
+                         .with("asked_s", core::to_seconds(*pause));
+    }
+    const bool leaves_now =
+        parsed_answer_.upstream_leaves &&
+        services_.router->leaving().add(upstream_, incarnation_, now);
+    if (leaves_now)
+    {
+        LOG(INFO) << core::log_line("upstream_leaves_by_answer")
+                         .with("upstream", upstream_)
+                         .with("incarnation", incarnation_)
+                         .with("status", call_.head().result_int());
+        services_.leaves->report_leaving(upstream_, incarnation_, now);
     }
-    LOG(INFO) << core::log_line("upstream_leaves_by_answer")
-                     .with("upstream", upstream_)
-                     .with("incarnation", incarnation_)
-                     .with("status", call_.head().result_int());
-    services_.leaves->report_leaving(upstream_, incarnation_, now);
 }
 
 http::request upstream_attempt::make_message(
--- a/Libraries/LibRouting/backlog_router.cpp
+++ b/Libraries/LibRouting/backlog_router.cpp
@@ -2,8 +2,11 @@
 
 #include <LibRouting/backlog_router.hpp>
 
+#include <LibCore/log_line.hpp>
 #include <LibFleet/entry_directory.hpp>
 
+#include <glog/logging.h>
+
 #include <algorithm>
 #include <array>
 #include <cmath>
@@ -271,6 +274,7 @@
     std::vector<option> options;
     bool serves = false;
     bool permitted = false; // An upstream in an allowed region serves it.
+    std::optional<core::time_point> first_pause_end;
     std::map<std::string, bool> served_regions;
     for (const auto& [id, it] : view.fleet->upstreams)
     {
@@ -294,7 +298,8 @@
                 continue;
             }
         }
-        if (auto made = make_option(view, it, request, now))
+        auto made = make_option(view, it, request, now);
+        if (made && may_be_called(it, now, first_pause_end))
         {
             options.push_back(*made);
         }
@@ -360,6 +365,11 @@
                                      : placement_refusal::no_upstream;
         out.retry_after = is_forbidden ? core::duration(residency_retry_after)
                                        : retry_after(request);
+        if (first_pause_end)
+        {
+            // Spread beyond the end, where calls return in steps.
+            out.retry_after += *first_pause_end - now;
+        }
         return out;
     }
     out.estimate = best->estimate;
@@ -381,6 +391,27 @@
     return commit(*best, request, reason, now);
 }
 
+bool backlog_router::may_be_called(
+    const upstream_record& it, core::time_point now,
+    std::optional<core::time_point>& first_end) const
+{
+    // Pauses belong to this VM, and calls to other regions go to their VMs.
+    if (pauses_.size() == 0 || it.region != region_)
+    {
+        return true;
+    }
+    const auto ends_at = pauses_.ends_at(it.id, it.incarnation, now);
+    if (ends_at > now)
+    {
+        first_end = first_end ? std::min(*first_end, ends_at) : ends_at;
+        return false;
+    }
+    const auto found = upstreams_.find(it.id);
+    const auto running = found == upstreams_.end() ? 0 : found->second.running;
+    return running < pauses_.max_calls(
+                         it.id, it.incarnation, std::max(1U, it.capacity), now);
+}
+
 core::duration
 backlog_router::retry_after(const placement_request& request) const
 {
@@ -575,6 +606,11 @@
                now - it.second.last_used > upstream_state_ttl;
     });
     leaving_.remove_stale(*view.fleet, now);
+    for (const auto& it : pauses_.remove_ended(now))
+    {
+        LOG(INFO)
+            << core::log_line("upstream_pause_ended").with("upstream", it);
+    }
 }
 
 } // namespace hyssoploft::routing
--- a/Libraries/LibRouting/backlog_router.hpp
+++ b/Libraries/LibRouting/backlog_router.hpp
@@ -12,6 +12,7 @@
 #include <LibCore/random_source.hpp>
 #include <LibCore/time.hpp>
 #include <LibFleet/leaving_upstreams.hpp>
+#include <LibFleet/paused_upstreams.hpp>
 #include <LibFleet/traffic_view.hpp>
 #include <LibRouting/prompt_cache.hpp>
 
@@ -193,6 +194,12 @@
         return leaving_;
     }
 
+    /// Upstreams that want no calls of this VM for some time.
+    fleet::paused_upstreams& pauses()
+    {
+        return pauses_;
+    }
+
     /// Load that this VM causes in its own region, for reports to other VMs.
     std::vector<fleet::load_row> own_loads() const;
 
@@ -278,6 +285,11 @@
     placement_result commit(
         const option& it, const placement_request& request,
         placement_reason reason, core::time_point now);
+    /// Whether an upstream of this region that asked for a pause can take a
+    /// call now. Sets the end of its pause otherwise.
+    bool may_be_called(
+        const membership::upstream_record& it, core::time_point now,
+        std::optional<core::time_point>& first_end) const;
     core::duration retry_after(const placement_request& request) const;
     const option* best_of(
         const std::vector<option>& options, bool local, bool fallback) const;
@@ -298,6 +310,7 @@
     std::map<std::uint64_t, running_call> calls_;
     std::map<std::string, upstream_state> upstreams_;
     fleet::leaving_upstreams leaving_;
+    fleet::paused_upstreams pauses_;
     std::map<std::string, role_state> roles_;
 };
 
--- a/Tests/LibRelay/relay_fixture.cpp
+++ b/Tests/LibRelay/relay_fixture.cpp
@@ -158,6 +158,14 @@
         http::header_value(it, "content-type") == "text/event-stream";
     out.signed_by_upstream = it.find("x-signature") != it.end();
     out.upstream_leaves = it.find("x-leaving") != it.end();
+    const auto pause = http::header_value(it, "retry-after");
+    int seconds = 0;
+    const auto parsed =
+        std::from_chars(pause.data(), pause.data() + pause.size(), seconds);
+    if (it.result_int() == 503 && !pause.empty() && parsed.ec == std::errc())
+    {
+        out.pause = std::chrono::seconds(seconds);
+    }
     return out;
 }
 
--- a/Tests/LibRelay/relay_fixture.hpp
+++ b/Tests/LibRelay/relay_fixture.hpp
@@ -170,6 +170,12 @@
 
     answer call(const std::string& text) const;
 
+    /// Of the traffic thread.
+    http::asio::io_context& context()
+    {
+        return thread_->context();
+    }
+
     /// Bounds the answers in memory, as a VM's settings do.
     void set_answer_budget(std::shared_ptr<core::byte_budget> budget);
 
--- a/Tests/platform/call_headers.cpp
+++ b/Tests/platform/call_headers.cpp
@@ -184,6 +184,51 @@
     }
 }
 
+TEST_CASE("a refusal's Retry-After is read as seconds")
+{
+    struct row
+    {
+        std::vector<const char*> values;
+        double seconds; ///< Below 0: none.
+    };
+    const row rows[] = {{{"3"}, 3},
+                        {{"0.25"}, 0.25},
+                        {{"0"}, 0},
+                        {{"1e9"}, 1e6},
+                        {{" 2 "}, 2},
+                        {{}, -1},
+                        {{""}, -1},
+                        {{"-1"}, -1},
+                        {{"nan"}, -1},
+                        {{"inf"}, -1},
+                        {{"1e999"}, -1},
+                        {{"2s"}, -1},
+                        {{"2", "2"}, -1},
+                        {{"2, 3"}, -1},
+                        {{"Wed, 21 Oct 2026 07:28:00 GMT"}, -1}};
+    const platform::call_headers codec;
+    for (const auto& row : rows)
+    {
+        CAPTURE(absl::StrJoin(row.values, " and "));
+        for (const auto status : {200U, 429U, 500U, 503U})
+        {
+            bhttp::response_header<> head;
+            head.result(status);
+            for (const auto* value : row.values)
+            {
+                head.insert("Retry-After", value);
+            }
+            const auto got = codec.read_answer(head).pause;
+            const bool is_expected = status == 503 && row.seconds >= 0;
+            CHECK(got.has_value() == is_expected);
+            if (got && is_expected)
+            {
+                CHECK(core::to_seconds(*got) == doctest::Approx(row.seconds));
+            }
+        }
+    }
+}
+
 TEST_CASE("a refusal bears no signature and a fraction of seconds")
 {
     const platform::call_headers codec;
