--- a/Libraries/LibRouting/backlog_router.cpp
+++ b/Libraries/LibRouting/backlog_router.cpp
@@ -2,11 +2,8 @@
 
 #include <LibRouting/backlog_router.hpp>
 
-#include <LibCore/log_line.hpp>
 #include <LibFleet/entry_directory.hpp>
 
-#include <glog/logging.h>
-
 #include <algorithm>
 #include <array>
 #include <cmath>
@@ -391,27 +388,6 @@
     return commit(*best, request, reason, now);
 }
 
-bool backlog_router::may_be_called(
-    const upstream_record& it, core::time_point now,
-    std::optional<core::time_point>& first_end) const
-{
-    // Pauses belong to this VM, and calls to other regions go to their VMs.
-    if (pauses_.size() == 0 || it.region != region_)
-    {
-        return true;
-    }
-    const auto ends_at = pauses_.ends_at(it.id, it.incarnation, now);
-    if (ends_at > now)
-    {
-        first_end = first_end ? std::min(*first_end, ends_at) : ends_at;
-        return false;
-    }
-    const auto found = upstreams_.find(it.id);
-    const auto running = found == upstreams_.end() ? 0 : found->second.running;
-    return running < pauses_.max_calls(
-                         it.id, it.incarnation, std::max(1U, it.capacity), now);
-}
-
 core::duration
 backlog_router::retry_after(const placement_request& request) const
 {
@@ -606,11 +582,7 @@
                now - it.second.last_used > upstream_state_ttl;
     });
     leaving_.remove_stale(*view.fleet, now);
-    for (const auto& it : pauses_.remove_ended(now))
-    {
-        LOG(INFO)
-            << core::log_line("upstream_pause_ended").with("upstream", it);
-    }
+    remove_ended_pauses(now);
 }
 
 } // namespace hyssoploft::routing
--- a/Libraries/LibRouting/backlog_router.hpp
+++ b/Libraries/LibRouting/backlog_router.hpp
@@ -290,6 +290,7 @@
     bool may_be_called(
         const membership::upstream_record& it, core::time_point now,
         std::optional<core::time_point>& first_end) const;
+    void remove_ended_pauses(core::time_point now);
     core::duration retry_after(const placement_request& request) const;
     const option* best_of(
         const std::vector<option>& options, bool local, bool fallback) const;
