LibHttp: Send and expect no body in answers to HEAD

Cause: the framing of answers did not follow the request's method, neither towards callers nor from upstreams.

Change: exchange sends the head alone, with the length that the upstream stated or that of the body, and drops the chunks of streams; http_call tells its parser that there is no body.

--- a/Libraries/LibHttp/exchange.cpp
+++ b/Libraries/LibHttp/exchange.cpp
@@ -54,9 +54,20 @@
     answer.version(message_.version());
     keep_alive_ = keep_alive();
     answer.keep_alive(keep_alive_);
-    answer.prepare_payload();
     stream_.expires_after(write_timeout);
     error_code ec;
+    if (is_head_request())
+    {
+        if (!answer.has_content_length())
+        {
+            answer.prepare_payload();
+        }
+        bhttp::response_serializer<bhttp::string_body> serializer(answer);
+        co_await bhttp::async_write_header(
+            stream_, serializer, asio::redirect_error(asio::use_awaitable, ec));
+        co_return to_status(ec);
+    }
+    answer.prepare_payload();
     co_await bhttp::async_write(
         stream_, answer, asio::redirect_error(asio::use_awaitable, ec));
     co_return to_status(ec);
@@ -80,6 +91,10 @@
 
 asio::awaitable<absl::Status> exchange::write(std::string_view bytes)
 {
+    if (is_head_request())
+    {
+        co_return absl::OkStatus();
+    }
     stream_.expires_after(write_timeout);
     error_code ec;
     co_await asio::async_write(
@@ -90,6 +105,10 @@
 
 asio::awaitable<absl::Status> exchange::end_stream()
 {
+    if (is_head_request())
+    {
+        co_return absl::OkStatus();
+    }
     stream_.expires_after(write_timeout);
     error_code ec;
     co_await asio::async_write(
--- a/Libraries/LibHttp/exchange.hpp
+++ b/Libraries/LibHttp/exchange.hpp
@@ -49,7 +49,16 @@
         return stream_.get_executor();
     }
 
-    /// Sends a whole answer. UNAVAILABLE when the caller went away.
+    /// HEAD: answers have no body, and the length that another method's would
+    /// have (RFC 9110, section 9.3.2).
+    bool is_head_request() const
+    {
+        return message_.method() == bhttp::verb::head;
+    }
+
+    /// Sends a whole answer. UNAVAILABLE when the caller went away. To HEAD
+    /// only its head is sent, with the length that it states or else that of
+    /// the body.
     asio::awaitable<absl::Status> respond(response answer);
 
     /// Sends the head of a streamed answer (chunked).
--- a/Libraries/LibHttp/http_client.cpp
+++ b/Libraries/LibHttp/http_client.cpp
@@ -97,6 +97,7 @@
     }
     message.keep_alive(true);
     message.prepare_payload();
+    is_head_request_ = message.method() == bhttp::verb::head;
     connection_ = *std::move(acquired);
     connection_->limit_silence(silence_timeout_);
     connection_->add_call(identifier_);
@@ -123,6 +124,7 @@
         parser_.emplace();
         parser_->header_limit(max_header_bytes);
         parser_->body_limit(boost::none);
+        parser_->skip(is_head_request_);
         error_code ec;
         co_await bhttp::async_read_header(
             connection_->stream, connection_->buffer, *parser_,
--- a/Libraries/LibHttp/http_client.hpp
+++ b/Libraries/LibHttp/http_client.hpp
@@ -149,6 +149,7 @@
     call_stage stage_ = call_stage::connecting;
     bool cancelled_ = false;
     bool reused_ = false;
+    bool is_head_request_ = false; // Its answer has no body.
     bool ends_with_connection_ = false;
     std::uint64_t bytes_ = 0;
 };
--- a/Libraries/LibRelay/relay_run_forward.cpp
+++ b/Libraries/LibRelay/relay_run_forward.cpp
@@ -23,6 +23,11 @@
     // Before the body is read: the parser adds the trailers to the head.
     http::response answer(from.head().result(), 11);
     services_.codec->copy_answer_headers(from.head(), answer.base());
+    const auto length = from.head().find(http::bhttp::field::content_length);
+    if (caller_.is_head_request() && length != from.head().end())
+    {
+        answer.set(http::bhttp::field::content_length, length->value());
+    }
     auto body = co_await from.read_all(time_left());
     stop_silence_watch();
     if (!body.ok())
--- a/Tests/Support/test_caller.cpp
+++ b/Tests/Support/test_caller.cpp
@@ -6,6 +6,7 @@
 #include <LibHttp/connection_pool.hpp>
 
 #include <boost/asio/read.hpp>
+#include <boost/asio/read_until.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/read.hpp>
 
@@ -57,6 +58,14 @@
     return out;
 }
 
+std::string test_caller::read_head()
+{
+    std::string out;
+    http::error_code ec;
+    asio::read_until(socket_, asio::dynamic_buffer(out), "\r\n\r\n", ec);
+    return out;
+}
+
 std::string test_caller::read_bytes()
 {
     std::string out;
--- a/Tests/Support/test_caller.hpp
+++ b/Tests/Support/test_caller.hpp
@@ -35,6 +35,8 @@
     /// Reads until the body has `text`; false at the end of the answer.
     bool read_until(const std::string& text);
     answer read();
+    /// The bytes that have come once an answer's head is among them.
+    std::string read_head();
     /// All bytes until the connection ends.
     std::string read_bytes();
     /// Resets the connection.
