LibHttp: Close idle connections to peers that are gone

Cause: idle connections were looked at only when a call asked for their address, which nobody does after its upstream has ended.

Change: each traffic thread looks at its idle connections every second and closes those that their peer has closed or that were idle for too long; those of the last second are left alone, as each look costs a system call.

--- a/Libraries/LibHttp/connection_pool.cpp
+++ b/Libraries/LibHttp/connection_pool.cpp
@@ -11,6 +11,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <iterator>
 #include <utility>
 
 namespace hyssoploft::http {
@@ -171,4 +172,30 @@
     list.push_back(std::move(it));
 }
 
+void connection_pool::close_unusable(std::chrono::steady_clock::time_point now)
+{
+    // Each look costs a system call, and connections that are in use again
+    // soon are looked at by take_idle().
+    constexpr std::chrono::seconds min_idle_time{1};
+    for (auto it = idle_.begin(); it != idle_.end();)
+    {
+        std::erase_if(it->second, [&](const auto& kept) {
+            const auto idle_for = now - kept->idle_since;
+            return idle_for >= kept->idle_limit ||
+                   (idle_for >= min_idle_time && !is_quiet(kept->stream));
+        });
+        it = it->second.empty() ? idle_.erase(it) : std::next(it);
+    }
+}
+
+std::size_t connection_pool::idle() const
+{
+    std::size_t out = 0;
+    for (const auto& [address, list] : idle_)
+    {
+        out += list.size();
+    }
+    return out;
+}
+
 } // namespace hyssoploft::http
--- a/Libraries/LibHttp/connection_pool.hpp
+++ b/Libraries/LibHttp/connection_pool.hpp
@@ -91,6 +91,14 @@
         std::unique_ptr<connection> it,
         std::chrono::nanoseconds idle_limit = max_idle);
 
+    /// Closes the idle connections that can't be used any more: those of
+    /// upstreams that are gone would keep their descriptors. Call about once a
+    /// second.
+    void close_unusable(std::chrono::steady_clock::time_point now);
+
+    /// Connections that are kept, for tests.
+    std::size_t idle() const;
+
 private:
     std::unique_ptr<connection>
     take_idle(const std::string& address, const std::string& call_id);
--- a/Libraries/LibHttp/traffic_thread.hpp
+++ b/Libraries/LibHttp/traffic_thread.hpp
@@ -8,6 +8,7 @@
 #include <LibHttp/types.hpp>
 
 #include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/steady_timer.hpp>
 
 #include <thread>
 
@@ -35,8 +36,11 @@
     void stop();
 
 private:
+    void schedule_cleanup();
+
     asio::io_context context_;
     connection_pool pool_; // Used on this thread only.
+    asio::steady_timer cleanup_timer_;
     asio::executor_work_guard<asio::io_context::executor_type> work_;
     std::thread thread_;
 };
