--- a/Libraries/LibControl/replica_driver.cpp
+++ b/Libraries/LibControl/replica_driver.cpp
@@ -16,9 +16,6 @@
 using consensus::entry_kind;
 using consensus::replica_role;
 
-/// Log entries between two snapshots: about a minute at 60 orders a second, and
-/// replayed in well under a second.
-constexpr std::uint64_t entries_per_snapshot = 8192;
 /// Replacing a replica takes about five checks.
 constexpr std::chrono::milliseconds membership_check_interval{200};
 /// Order records expire by log time, which advances at this interval when there
@@ -55,6 +52,7 @@
             return status;
         }
         it->applied_index_ = found.base->last.index;
+        it->compaction_.compacted(found.base->bytes->size());
     }
     auto node = consensus::consensus_node::create(
         options.consensus, std::move(found), random, clock.now());
@@ -213,6 +211,7 @@
                 break;
             }
             applied_index_ = out.install->last.index;
+            compaction_.compacted(out.install->bytes->size());
             environment_.resources_changed();
             environment_.manifest_changed();
         }
@@ -282,6 +281,7 @@
         }
     }
     applied_index_ = entry.position.index;
+    compaction_.add_entry(entry.bytes.size());
     // First entry of this replica's term: all earlier entries are applied.
     if (entry.position.term == leading_term_ && !log_clock_)
     {
@@ -398,16 +398,19 @@
 
 void replica_driver::compact_if_large()
 {
-    if (applied_index_ < node_->base().index + entries_per_snapshot)
+    if (!compaction_.is_due())
     {
         return;
     }
-    const auto status = node_->compact(applied_index_, state_.take_snapshot());
+    auto snapshot = state_.take_snapshot();
+    const auto bytes = snapshot.size();
+    const auto status = node_->compact(applied_index_, std::move(snapshot));
     if (!status.ok())
     {
         LOG(ERROR) << "compaction_failed error=\"" << status.ToString() << "\"";
         return;
     }
+    compaction_.compacted(bytes);
     process_node_output();
 }
 
--- a/Libraries/LibControl/replica_driver.hpp
+++ b/Libraries/LibControl/replica_driver.hpp
@@ -7,6 +7,7 @@
 
 #include <LibConsensus/consensus_node.hpp>
 #include <LibConsensus/file_log_storage.hpp>
+#include <LibControl/compaction_rule.hpp>
 #include <LibControl/control_messages.hpp>
 #include <LibControl/control_state_machine.hpp>
 #include <LibControl/replica_roster.hpp>
@@ -154,6 +155,7 @@
     std::map<std::uint64_t, pending_proposal> pending_; // By log index.
     std::optional<ledger::log_clock> log_clock_; // While this replica leads.
     std::uint64_t applied_index_ = 0;
+    compaction_rule compaction_;     // Of the entries after the snapshot.
     std::uint64_t leading_term_ = 0; // 0: this replica does not lead.
     core::time_point next_membership_check_{};
     core::time_point next_log_tick_{};
