LibRelay: Decide on a target by one reading of the clock

On x86-64 every request was refused. upstream_attempt::check_target compared the end of a pause, for which it had read the clock, with a second reading. g++ on x86-64 reads the right operand first, so that the end of a pause that never was, the later reading, lay after it, and every upstream counted as paused. g++ on arm64 reads them in the other order.

check_target and make_message take the time as a parameter. The clock of the relay's tests advances at each reading, by as much as a test says.

No other expression of the product reads the clock twice, but for a poll in relay_run::wait_for_current_view, where the order does not matter.

--- a/Libraries/LibRelay/upstream_attempt.cpp
+++ b/Libraries/LibRelay/upstream_attempt.cpp
@@ -64,10 +64,11 @@
     return true;
 }
 
-absl::Status upstream_attempt::check_target(const routing::placement& target)
+absl::Status upstream_attempt::check_target(
+    const routing::placement& target, core::time_point now)
 {
     const auto view = services_.source->view();
-    if (terms_.deadline - services_.clock->now() < min_time_left)
+    if (terms_.deadline - now < min_time_left)
     {
         return absl::UnavailableError("no time left at the time of sending");
     }
@@ -79,8 +80,8 @@
     }
     const bool is_quarantined =
         terms_.is_engine && !terms_.ignores_quarantine &&
-        services_.guard.check(*view, terms_.head.parts, services_.clock->now())
-                .verdict != prompt_verdict::allowed;
+        services_.guard.check(*view, terms_.head.parts, now).verdict !=
+            prompt_verdict::allowed;
     if (is_quarantined)
     {
         return absl::UnavailableError("a part of the prompt is quarantined");
@@ -97,8 +98,7 @@
         !services_.router->leaving().contains(
             target.upstream, found->second.incarnation) &&
         services_.router->pauses().ends_at(
-            target.upstream, found->second.incarnation,
-            services_.clock->now()) <= services_.clock->now() &&
+            target.upstream, found->second.incarnation, now) <= now &&
         !view->evacuated.contains(found->second.data_center);
     if (!is_usable)
     {
@@ -142,12 +142,12 @@
 
 http::request upstream_attempt::make_message(
     const routing::placement& target, const http::request& from,
-    const std::string& last_event_id) const
+    const std::string& last_event_id, core::time_point now) const
 {
     call_terms upstream_terms;
     upstream_terms.upstream = target.local ? target.upstream : std::string();
     upstream_terms.account = terms_.account;
-    upstream_terms.time_left = terms_.deadline - services_.clock->now();
+    upstream_terms.time_left = terms_.deadline - now;
     upstream_terms.urgency = terms_.urgency;
     upstream_terms.is_engine = terms_.is_engine;
     upstream_terms.last_event_id = last_event_id;
@@ -187,8 +187,10 @@
     // Made when the connection is there: the process may have been paused, or
     // connecting may have taken long.
     const auto message_at_sending = [&]() -> absl::StatusOr<http::request> {
-        auto message = make_message(target, from, last_event_id);
-        const auto status = check_target(target);
+        auto message =
+            make_message(target, from, last_event_id, services_.clock->now());
+        // Read again: the process may have been paused since.
+        const auto status = check_target(target, services_.clock->now());
         is_expired = !status.ok();
         if (is_expired)
         {
--- a/Libraries/LibRelay/upstream_attempt.hpp
+++ b/Libraries/LibRelay/upstream_attempt.hpp
@@ -106,12 +106,13 @@
         const fleet::traffic_view& view, const routing::placement& chosen);
     /// UNAVAILABLE if the placement, the admission or the request's time has
     /// expired since the target was chosen.
-    absl::Status check_target(const routing::placement& target);
+    absl::Status
+    check_target(const routing::placement& target, core::time_point now);
     /// Acts on what the upstream says of itself in parsed_answer_.
     void obey_answer();
     http::request make_message(
         const routing::placement& target, const http::request& from,
-        const std::string& last_event_id) const;
+        const std::string& last_event_id, core::time_point now) const;
     http::asio::awaitable<absl::Status>
     skip_stale_answers(std::chrono::nanoseconds limit);
     http::asio::awaitable<attempt_result>
--- a/Tests/Support/skipping_clock.hpp
+++ b/Tests/Support/skipping_clock.hpp
@@ -10,13 +10,16 @@
 namespace hyssoploft::tests {
 
 /// Real time plus an offset, so that a test can let a pause of the process
-/// pass. Thread safe.
+/// pass. Each reading is later than the one before, so that a decision that
+/// reads the time twice compares two moments on every machine and with every
+/// compiler. Thread safe.
 class skipping_clock final : public core::clock
 {
 public:
     core::time_point now() const override
     {
-        return system_.now() + core::duration(offset_.load());
+        const auto offset = offset_ += step_.load();
+        return system_.now() + core::duration(offset);
     }
 
     std::uint64_t unix_nanoseconds() const override
@@ -29,9 +32,16 @@
         offset_ += d.count();
     }
 
+    /// Advance at each reading.
+    void set_step(core::duration d)
+    {
+        step_ = d.count();
+    }
+
 private:
     core::system_clock system_;
-    std::atomic<core::duration::rep> offset_{0};
+    mutable std::atomic<core::duration::rep> offset_{0};
+    std::atomic<core::duration::rep> step_{1};
 };
 
 } // namespace hyssoploft::tests
