LibFleet: Send calls to another region through three VMs there

Cause: each call to another region went to a random VM of it.

Change: each VM prefers three VMs of a region, by rendezvous hashing, so that VMs prefer different ones. One of them is drawn for each call.

--- a/Libraries/LibFleet/entry_directory.cpp
+++ b/Libraries/LibFleet/entry_directory.cpp
@@ -2,6 +2,10 @@
 
 #include <LibFleet/entry_directory.hpp>
 
+#include <LibCore/rendezvous.hpp>
+
+#include <algorithm>
+
 namespace hyssoploft::fleet {
 
 std::vector<std::string> entry_addresses_for(
@@ -56,4 +60,26 @@
     return ready.empty() ? leaving : ready;
 }
 
+std::vector<const membership::vm_record*> preferred_relay_vms(
+    const membership::fleet_view& fleet, const std::string& region,
+    std::size_t limit)
+{
+    auto out = relay_vms_of(fleet, region);
+    if (out.size() <= limit)
+    {
+        return out;
+    }
+    const auto seed = core::rendezvous_hash(0, fleet.self);
+    const auto rank = [seed](const membership::vm_record* it) {
+        return core::rendezvous_hash(seed, it->id);
+    };
+    std::partial_sort(
+        out.begin(), out.begin() + static_cast<std::ptrdiff_t>(limit),
+        out.end(), [&](const auto* a, const auto* b) {
+            return rank(a) > rank(b);
+        });
+    out.resize(limit);
+    return out;
+}
+
 } // namespace hyssoploft::fleet
--- a/Libraries/LibFleet/entry_directory.hpp
+++ b/Libraries/LibFleet/entry_directory.hpp
@@ -22,6 +22,14 @@
 std::vector<const membership::vm_record*>
 relay_vms_of(const membership::fleet_view& fleet, const std::string& region);
 
+/// The few of relay_vms_of() that this VM prefers, at most `limit`. Each VM
+/// prefers others, and always the same ones: a connection to another region
+/// takes a round trip to open, and calls that spread over all VMs there would
+/// seldom find one open.
+std::vector<const membership::vm_record*> preferred_relay_vms(
+    const membership::fleet_view& fleet, const std::string& region,
+    std::size_t limit);
+
 } // namespace hyssoploft::fleet
 
 #endif
--- a/Libraries/LibRelay/upstream_attempt.cpp
+++ b/Libraries/LibRelay/upstream_attempt.cpp
@@ -16,6 +16,9 @@
 
 /// Limit on skipped late answers to earlier calls on the same connection.
 constexpr int max_stale_answers = 2;
+/// VMs of another region through which one VM sends its calls. More than one,
+/// as one may be lost before this VM learns of it.
+constexpr std::size_t max_relay_vms = 3;
 /// Bodies of refusals are short.
 constexpr std::size_t max_refusal_bytes = 64 * 1024;
 
@@ -53,7 +56,8 @@
                                                         : found->second.address;
         return !address_.empty();
     }
-    const auto vms = fleet::relay_vms_of(*view.fleet, chosen.region);
+    const auto vms =
+        fleet::preferred_relay_vms(*view.fleet, chosen.region, max_relay_vms);
     if (vms.empty())
     {
         return false;
--- a/Tests/LibFleet/entry_directory.cpp
+++ b/Tests/LibFleet/entry_directory.cpp
@@ -5,6 +5,9 @@
 
 #include <doctest.h>
 
+#include <map>
+#include <string>
+
 using namespace hyssoploft;
 using membership::vm_state;
 
@@ -64,3 +67,36 @@
     CHECK(found[0]->id == "a");
     CHECK(fleet::relay_vms_of(fleet, "west").empty());
 }
+
+// Guards against calls to another region that find no open connection because
+// each goes to another VM there.
+TEST_CASE("each VM keeps to a few VMs of another region, and they share")
+{
+    membership::fleet_view fleet;
+    for (int n = 0; n < 40; ++n)
+    {
+        auto it = vm(std::to_string(n).c_str(), "east", vm_state::alive, true);
+        fleet.vms[it.id] = it;
+    }
+    std::map<std::string, int> chosen;
+    for (int n = 0; n < 100; ++n)
+    {
+        fleet.self = "west-" + std::to_string(n);
+        const auto found = fleet::preferred_relay_vms(fleet, "east", 3);
+        REQUIRE_EQ(found.size(), 3);
+        CHECK_EQ(fleet::preferred_relay_vms(fleet, "east", 3), found);
+        for (const auto* it : found)
+        {
+            ++chosen[it->id];
+        }
+    }
+    // 7.5 each on average.
+    CHECK_EQ(chosen.size(), 40);
+    for (const auto& [id, count] : chosen)
+    {
+        CAPTURE(id);
+        CHECK(count <= 20);
+    }
+    CHECK_EQ(fleet::preferred_relay_vms(fleet, "east", 99).size(), 40);
+    CHECK(fleet::preferred_relay_vms(fleet, "north", 3).empty());
+}
