LibRouting: Spread unseen calls, and keep room for urgent ones

All VMs of a region chose the engine with the least reported load. In the 0.1 s until reports show a call, a region of 30 VMs places over a hundred: calls were placed at a reported backlog of 8,000 prompt tokens where up to 48,000 and more waited. Less urgent calls with a target of 1.5 s filled the queues to a length at which urgent ones with a target of 0.5 s were refused. They may now use half of the wait that urgent ones accept, unless they are served much less often (LibRouting/urgency_limits).

The request line shows wait_ms, max_wait_ms and compared; refusals are counted by urgency.

--- a/Libraries/LibRelay/relay_run.cpp
+++ b/Libraries/LibRelay/relay_run.cpp
@@ -72,6 +72,7 @@
     out.excluded_regions = excluded_regions_;
     out.latency_target = terms_.latency_target;
     out.time_left = time_left();
+    out.urgency = terms_.urgency;
     out.local_only = terms_.relayed;
     return out;
 }
@@ -439,6 +440,14 @@
         refused
             ? core::name_of(routing::placement_refusal_names, refused->refusal)
             : std::string_view();
+    if (refused && refused->refusal == routing::placement_refusal::backlog_full)
+    {
+        services_.metrics
+            ->get_counter(
+                "hyssoploft_backlog_refusals_total",
+                {{"urgency", std::to_string(terms_.urgency)}})
+            .add();
+    }
     auto it =
         gateway::make_refusal(reason, "no upstream can accept the request");
     it.retry_after = refused ? refused->retry_after
--- a/Libraries/LibRelay/relay_run_log.cpp
+++ b/Libraries/LibRelay/relay_run_log.cpp
@@ -51,6 +51,9 @@
             .with("ahead", std::lround(estimate_.queued_tokens))
             .with("running", std::lround(estimate_.running))
             .with("expected_ms", std::lround(1e3 * estimate_.expected_seconds))
+            .with("wait_ms", std::lround(1e3 * estimate_.wait_seconds))
+            .with("max_wait_ms", std::lround(1e3 * estimate_.max_wait_seconds))
+            .with("compared", estimate_.compared)
             .with("loads_age_ms", loads_age_ / std::chrono::milliseconds(1));
     }
     services_.log.add(line, now);
--- a/Libraries/LibRouting/backlog_router.cpp
+++ b/Libraries/LibRouting/backlog_router.cpp
@@ -2,6 +2,7 @@
 
 #include <LibRouting/backlog_router.hpp>
 
+#include <LibCore/rendezvous.hpp>
 #include <LibFleet/entry_directory.hpp>
 
 #include <algorithm>
@@ -45,19 +46,6 @@
 /// evacuation. It lasts tens of seconds, so earlier retries would fail again.
 constexpr std::chrono::seconds residency_retry_after{10};
 
-std::uint64_t rendezvous_hash(std::uint64_t seed, const std::string& text)
-{
-    // Must give the same value in every process, unlike std::hash.
-    std::uint64_t out = seed ^ 0x9e3779b97f4a7c15U;
-    for (const unsigned char c : text)
-    {
-        out = (out ^ c) * 0x100000001b3U;
-    }
-    out ^= out >> 33U;
-    out *= 0xff51afd7ed558ccdU;
-    return out ^ out >> 33U;
-}
-
 // Identifies prompts with the same prefix: the id of the last shared part.
 std::uint64_t shared_prefix_id(const std::vector<prompt_part>& parts)
 {
@@ -69,7 +57,8 @@
 backlog_router::backlog_router(
     std::string region, const backlog_settings& settings,
     core::random_source& random)
-    : region_(std::move(region)), settings_(settings), random_(random)
+    : region_(std::move(region)), settings_(settings), random_(random),
+      waits_(settings.max_wait_share)
 {}
 
 bool backlog_router::may_send_cold_call(
@@ -86,13 +75,16 @@
     if (view.region_entry_vms > max_cold_senders)
     {
         std::uint32_t higher_ranked = 0;
-        const auto own_rank = rendezvous_hash(1, it.id + view.fleet->self);
+        const auto own_rank =
+            core::rendezvous_hash(1, it.id + view.fleet->self);
         for (const auto& [id, vm] : view.fleet->vms)
         {
             const bool is_sender = vm.entry && vm.region == region_ &&
                                    vm.state == membership::vm_state::alive;
             higher_ranked +=
-                is_sender && rendezvous_hash(1, it.id + id) > own_rank ? 1 : 0;
+                is_sender && core::rendezvous_hash(1, it.id + id) > own_rank
+                    ? 1
+                    : 0;
         }
         if (higher_ranked >= max_cold_senders)
         {
@@ -216,7 +208,7 @@
     std::map<std::string, std::pair<std::uint64_t, option*>> preferred;
     for (auto& it : options)
     {
-        const auto rank = rendezvous_hash(prefix_id, it.record->id);
+        const auto rank = core::rendezvous_hash(prefix_id, it.record->id);
         auto& highest = preferred[it.record->region];
         if (!highest.second || rank > highest.first)
         {
@@ -306,11 +298,10 @@
     {
         prefer_agreed_upstreams(options, view, request);
     }
-    const auto* local = best_of(options, true, false);
     const double draw =
         prefix_id == 0
             ? random_.uniform()
-            : static_cast<double>(rendezvous_hash(prefix_id, "region")) /
+            : static_cast<double>(core::rendezvous_hash(prefix_id, "region")) /
                   18446744073709551616.0; // 2^64
     const auto overflow_region =
         request.prompt_tokens > 0 && !request.local_only
@@ -323,8 +314,12 @@
         std::erase_if(options, [&](const option& it) {
             return !it.local && it.record->region != overflow_region;
         });
-        local = best_of(options, true, false);
     }
+    const std::size_t compared =
+        request.prompt_tokens > 0
+            ? keep_compared_engines(options, view, request, now)
+            : 0;
+    const auto* local = best_of(options, true, false);
     const auto* remote = best_of(options, false, false);
     const double target = core::to_seconds(request.latency_target);
     const double limit = settings_.local_latency_share * target;
@@ -334,6 +329,8 @@
         remote && !overflow_region.empty() &&
         (!local || remote->estimate.expected_seconds <
                        std::max(limit, local->estimate.expected_seconds));
+    const double max_wait = waits_.max_wait_seconds(
+        request.role, request.urgency, request.latency_target, now);
     const bool use_remote =
         remote && (!local || share_backlog ||
                    (local->estimate.expected_seconds > limit &&
@@ -370,22 +367,31 @@
         return out;
     }
     out.estimate = best->estimate;
+    out.estimate.wait_seconds = best->wait_seconds;
+    out.estimate.max_wait_seconds = max_wait;
+    out.estimate.compared = compared;
     if (best->estimate.expected_seconds > core::to_seconds(request.time_left))
     {
         out.refusal = placement_refusal::deadline_too_near;
         out.retry_after = retry_after(request);
         return out;
     }
-    const bool overloaded =
-        request.prompt_tokens > 0 && target > 0 &&
-        best->wait_seconds > settings_.max_wait_share * target;
+    const bool overloaded = request.prompt_tokens > 0 && target > 0 &&
+                            best->wait_seconds > max_wait;
+    if (request.prompt_tokens > 0 && target > 0)
+    {
+        waits_.record(
+            request.role, request.urgency, request.latency_target, !overloaded,
+            now);
+    }
     if (overloaded)
     {
         out.refusal = placement_refusal::backlog_full;
         out.retry_after = retry_after(request);
         return out;
     }
-    return commit(*best, request, reason, now);
+    out.chosen = commit(*best, request, reason, now);
+    return out;
 }
 
 core::duration
@@ -397,12 +403,10 @@
     return core::from_seconds(target * (0.3 + 0.7 * random_.uniform()));
 }
 
-placement_result backlog_router::commit(
+placement backlog_router::commit(
     const option& it, const placement_request& request, placement_reason reason,
     core::time_point now)
 {
-    placement_result out;
-    out.estimate = it.estimate;
     placement chosen;
     chosen.ticket = next_ticket_++;
     chosen.upstream = it.record->id;
@@ -419,6 +423,10 @@
     call.is_engine = request.prompt_tokens > 0;
     it.state->running += 1;
     it.state->waiting_tokens += it.estimate.uncached_tokens;
+    if (call.is_engine && it.local)
+    {
+        roles_[call.role].placements.add(now);
+    }
     if (it.record->cold_until > now && it.local)
     {
         it.state->last_cold_call = now;
@@ -431,8 +439,7 @@
                                static_cast<double>(request.memory_tokens)));
     }
     calls_.emplace(chosen.ticket, std::move(call));
-    out.chosen = std::move(chosen);
-    return out;
+    return chosen;
 }
 
 void backlog_router::record_first_event(
--- a/Libraries/LibRouting/backlog_router.hpp
+++ b/Libraries/LibRouting/backlog_router.hpp
@@ -14,7 +14,10 @@
 #include <LibFleet/leaving_upstreams.hpp>
 #include <LibFleet/paused_upstreams.hpp>
 #include <LibFleet/traffic_view.hpp>
+#include <LibRouting/engine_sample.hpp>
+#include <LibRouting/event_rate.hpp>
 #include <LibRouting/prompt_cache.hpp>
+#include <LibRouting/urgency_limits.hpp>
 
 #include <cstdint>
 #include <map>
@@ -38,7 +41,8 @@
     std::set<std::string> excluded_regions;
     core::duration latency_target{};
     core::duration time_left{};
-    bool local_only = false; ///< The call came from another VM.
+    std::uint32_t urgency = 0; ///< 0 is the most urgent.
+    bool local_only = false;   ///< The call came from another VM.
 };
 
 enum class placement_reason : std::uint8_t
@@ -76,7 +80,10 @@
     double expected_seconds = 0; ///< To the first event.
     double queued_tokens = 0;    ///< Prompt tokens queued before this call.
     std::uint32_t uncached_tokens = 0; ///< Prompt tokens that are not cached.
-    double running = 0; ///< Calls at the upstream, without this one.
+    double running = 0;          ///< Calls at the upstream, without this one.
+    double wait_seconds = 0;     ///< Delay by other calls; engines only.
+    double max_wait_seconds = 0; ///< With which the call is accepted.
+    std::size_t compared = 0;    ///< Engines of this region; 0: not engines.
 };
 
 struct placement
@@ -164,6 +171,9 @@
     /// failure.
     core::duration initial_pause = std::chrono::milliseconds(400);
     core::duration max_pause = std::chrono::seconds(4);
+    /// Until a load report that includes a call has reached all VMs of the
+    /// region.
+    core::duration notice_lag = std::chrono::milliseconds(100);
     /// Pause after an upstream rejected a call for load.
     core::duration rejected_pause = std::chrono::milliseconds(100);
 };
@@ -245,6 +255,7 @@
     {
         double prefill_rate = 0;    // Prompt tokens per second; 0: unknown.
         double service_seconds = 0; // 0: unknown.
+        event_rate placements;      // Of this VM, in its region.
     };
 
     struct option
@@ -272,6 +283,11 @@
     void prefer_agreed_upstreams(
         std::vector<option>& options, const fleet::traffic_view& view,
         const placement_request& request) const;
+    /// Leaves those engines of this region that are compared for the call.
+    /// Returns their number.
+    std::size_t keep_compared_engines(
+        std::vector<option>& options, const fleet::traffic_view& view,
+        const placement_request& request, core::time_point now);
     std::optional<option> make_option(
         const fleet::traffic_view& view, const membership::upstream_record& it,
         const placement_request& request, core::time_point now);
@@ -282,7 +298,7 @@
         const fleet::traffic_view& view, const membership::upstream_record& it,
         const upstream_state& state, core::time_point now) const;
     void remove_from_load(running_call& it);
-    placement_result commit(
+    placement commit(
         const option& it, const placement_request& request,
         placement_reason reason, core::time_point now);
     /// Whether an upstream of this region that asked for a pause can take a
@@ -313,6 +329,7 @@
     fleet::leaving_upstreams leaving_;
     fleet::paused_upstreams pauses_;
     std::map<std::string, role_state> roles_;
+    urgency_limits waits_;
 };
 
 } // namespace hyssoploft::routing
--- a/Libraries/LibRouting/backlog_router_sharing.cpp
+++ b/Libraries/LibRouting/backlog_router_sharing.cpp
@@ -3,6 +3,8 @@
 
 #include <LibRouting/backlog_router.hpp>
 
+#include <LibCore/rendezvous.hpp>
+
 #include <algorithm>
 #include <map>
 #include <string>
@@ -98,4 +100,49 @@
     return "";
 }
 
+std::size_t backlog_router::keep_compared_engines(
+    std::vector<option>& options, const fleet::traffic_view& view,
+    const placement_request& request, core::time_point now)
+{
+    // Without a shared part, all engines are alike for the call.
+    const auto key = request.parts.size() < 2
+                         ? random_.next()
+                         : request.parts[request.parts.size() - 2].id;
+    std::vector<engine_load> engines;
+    std::vector<std::size_t> positions; // Of `engines` in `options`.
+    for (std::size_t n = 0; n < options.size(); ++n)
+    {
+        const auto& it = options[n];
+        if (it.local && !it.fallback)
+        {
+            engines.push_back(
+                {core::rendezvous_hash(key, it.record->id), it.wait_seconds});
+            positions.push_back(n);
+        }
+    }
+    const double unseen_calls =
+        roles_[request.role].placements.per_second(now) *
+        view.region_entry_vms * core::to_seconds(settings_.notice_lag);
+    const auto compared = compared_engines(unseen_calls, engines.size());
+    if (compared >= engines.size())
+    {
+        return engines.size();
+    }
+    std::vector<bool> is_left_out(options.size(), false);
+    for (const auto n : positions)
+    {
+        is_left_out[n] = true;
+    }
+    const auto sample = sample_engines(engines, compared);
+    for (const auto n : sample)
+    {
+        is_left_out[positions[n]] = false;
+    }
+    std::size_t position = 0;
+    std::erase_if(options, [&](const option&) {
+        return is_left_out[position++];
+    });
+    return sample.size();
+}
+
 } // namespace hyssoploft::routing
--- a/Tests/LibRouting/engine_fleet_model.cpp
+++ b/Tests/LibRouting/engine_fleet_model.cpp
@@ -183,6 +183,10 @@
         it.view.fleet = own;
         it.view.routes = routes;
         it.view.entry_vms = static_cast<std::uint32_t>(vms_.size());
+        it.view.region_entry_vms = static_cast<std::uint32_t>(
+            std::count_if(vms_.begin(), vms_.end(), [&](const model_vm& other) {
+                return other.region == it.region;
+            }));
     }
 }
 
@@ -253,6 +257,7 @@
     request.memory_tokens = engine_memory;
     request.allowed_regions = from.residency_regions;
     request.latency_target = from.latency_target;
+    request.urgency = from.urgency;
     request.time_left = from.deadline;
     it->index = result_.calls.size();
     model_result::call call_record;
--- a/Tests/LibRouting/engine_fleet_model.hpp
+++ b/Tests/LibRouting/engine_fleet_model.hpp
@@ -33,6 +33,7 @@
     double events = 0;
     std::chrono::milliseconds latency_target{};
     std::chrono::milliseconds deadline{};
+    std::uint32_t urgency = 0;               ///< 0 is the most urgent.
     std::set<std::string> residency_regions; ///< Empty: all regions.
 };
 
