LibRouting: Compare more engines where few calls are unseen

Cause: with two engines for each unseen call, small fleets compared a third of their engines, although their VMs see almost all calls.

Change: 2.5 engines for each unseen call; 0.4 instead of 0.5 of the urgent calls' wait for less urgent ones.

The test's bounds are as they were; the table of waits follows the new share.

--- a/Libraries/LibRouting/engine_sample.cpp
+++ b/Libraries/LibRouting/engine_sample.cpp
@@ -14,7 +14,7 @@
 /// (Mitzenmacher, 1996).
 constexpr std::size_t min_compared = 2;
 /// Engines for each call that reports do not show yet.
-constexpr double engines_per_unseen_call = 2.0;
+constexpr double engines_per_unseen_call = 2.5;
 /// An engine is passed over above this multiple of the mean wait and this time
 /// in addition, which is about the prefill of one short prompt.
 constexpr double max_load_factor = 1.25;
--- a/Libraries/LibRouting/urgency_limits.cpp
+++ b/Libraries/LibRouting/urgency_limits.cpp
@@ -9,7 +9,7 @@
 namespace {
 
 /// Part of the urgent calls' longest wait that less urgent calls may use.
-constexpr double less_urgent_share = 0.5;
+constexpr double less_urgent_share = 0.4;
 /// Less urgent calls are served at least this part as often as urgent ones.
 constexpr double min_served_ratio = 0.4;
 /// Below this rate a VM sees too few calls of a level to reserve room for it.
--- a/Tests/LibRouting/urgency_limits.cpp
+++ b/Tests/LibRouting/urgency_limits.cpp
@@ -39,8 +39,8 @@
     };
     const row rows[] = {
         {"alone", -1, 500ms, 10, 0.9},
-        {"beside urgent ones", 10, 500ms, 10, 0.15},
-        {"beside urgent ones that are refused, too", 5, 500ms, 5, 0.15},
+        {"beside urgent ones", 10, 500ms, 10, 0.12},
+        {"beside urgent ones that are refused, too", 5, 500ms, 5, 0.12},
         {"served much less often", 10, 500ms, 3, 0.3},
         {"both scarce, and served much less often", 6, 500ms, 2, 0.3},
         {"urgent ones that may wait longer", 10, 2s, 10, 0.9},
