--- /dev/null
+++ b/Tests/Processes/platform_fleet.sh
@@ -0,0 +1,153 @@
+# Functions that start a fleet on loopback addresses as the users' platform
+# does: roles, flags and environment of deploy/system.toml, and a settings file
+# for each process. Sourced after common.sh, whose fleet_dir, fleet_net,
+# fleet_pids and fleet_wait it uses; fleet_stop ends every process.
+#
+# VMs are called control-rREGION-N and entry-rREGION-N. The data centre of
+# region r1 is r1-a, and so on.
+
+platform_upstream_program=$fleet_build/Tests/StandIns/platform_upstream
+platform_control=()
+platform_entry=()
+declare -A platform_ips=() platform_regions=()
+
+# platform_role ROLE FIELD: of deploy/system.toml.
+platform_role() {
+    awk -v role="[roles.$1]" -v field="$2" '
+        /^\[/ { inside = ($0 == role) }
+        inside && $1 == field { sub(/^[^=]*= */, ""); print }' deploy/system.toml
+}
+
+# platform_init CONTROLS ENTRIES: how many of each, one number to a region.
+platform_init() {
+    local region n=10 i kind counts
+    for kind in control entry; do
+        counts=$1
+        [ "$kind" = control ] || counts=$2
+        region=0
+        for count in $counts; do
+            region=$((region + 1))
+            for ((i = 1; i <= count; i++)); do
+                n=$((n + 1))
+                local name=$kind-r$region-$i
+                if [ "$kind" = control ]; then
+                    platform_control+=("$name")
+                else
+                    platform_entry+=("$name")
+                fi
+                platform_ips[$name]=$fleet_net.$n
+                platform_regions[$name]=r$region
+            done
+        done
+    done
+    platform_region_count=$region
+}
+
+platform_address() { echo "${platform_ips[$1]}:$2"; }
+platform_entry_address() { platform_address "$1" 8221; }
+platform_control_address() { platform_address "$1" 8229; }
+
+# platform_settings NAME FIRST-START: the settings file of a VM.
+platform_settings() {
+    local name=$1 ip=${platform_ips[$1]} region=${platform_regions[$1]} i
+    echo "node-name: \"$name\""
+    if [[ $name == control-* ]]; then
+        echo "machine-class: core"
+        echo "role: control"
+        echo "serves: [control, directory]"
+        echo "listen: {control: \"$ip:8229\", directory: \"$ip:8230\"}"
+        echo "data-dir: \"$fleet_dir/$name\""
+        echo "counts-as-fault: true"
+    else
+        echo "machine-class: front"
+        echo "role: entry"
+        echo "serves: [front]"
+        echo "listen: {front: \"$ip:8221\", readiness: \"$ip:8224\"}"
+        echo "data-dir: null"
+        echo "counts-as-fault: false"
+    fi
+    echo "zones:"
+    for ((i = 1; i <= platform_region_count; i++)); do
+        echo "  r$i-a: r$i"
+    done
+    cat <<YAML
+ip: "$ip"
+zone: "$region-a"
+region: "$region"
+port-range: [7600, 7615]
+bootstrap: $2
+limits: {cpu-share: 1.0, cores: 1, memory-mb: 260, max-fds: 4100,
+  link-mbps: 1000.0, disk-mb: 128}
+discovery: registry
+entry: directory
+heartbeat-ms: 500
+fault-tolerance: {machines: 1, zones: 0, regions: 0}
+bounds: {seed-lag-s: 3, contact-ms: 5000, ack-ms: 6000, catch-up-s: 4,
+  drain-ms: 3000, grace-s: 8, retry-budget-ratio: 0.2, budget-window-s: 10,
+  budget-slack: 52, quota-window-s: 8, quota-slack: 140000, ttl_max_s: 5}
+config-mode: highest
+seeds:
+YAML
+    for name in "${platform_control[@]:0:3}"; do
+        echo "  - \"$(platform_control_address "$name")\""
+    done
+}
+
+# platform_start NAME FIRST-START
+platform_start() {
+    local role=${1%%-*} flags key
+    flags=$(platform_role "$role" run | tr -d '"' | cut -d' ' -f2-)
+    key=$(platform_role "$role" env |
+        sed 's/.*HYSSOPLOFT_FLEET_KEY = "\([^"]*\)".*/\1/')
+    platform_settings "$1" "$2" >"$fleet_dir/$1.yaml"
+    mkdir -p "$fleet_dir/$1"
+    # Word splitting of the flags is wanted.
+    # shellcheck disable=SC2086
+    env -i PATH="$PATH" HOME="$fleet_dir" LANG=C.UTF-8 \
+        HYSSOPLOFT_SETTINGS="$fleet_dir/$1.yaml" HYSSOPLOFT_FLEET_KEY="$key" \
+        "$fleet_daemon" $flags >>"$fleet_dir/$1.log" 2>&1 &
+    fleet_pids[$1]=$!
+}
+
+platform_start_all() {
+    local name
+    for name in "${platform_control[@]}" "${platform_entry[@]}"; do
+        platform_start "$name" true
+    done
+}
+
+# platform_upstream ID ROLE REGION [FLAG...]: starts a stand-in upstream that
+# sends its heartbeats to all control VMs in turn.
+platform_upstream() {
+    local id=$1 role=$2 region=$3 control=() name
+    shift 3
+    for name in "${platform_control[@]}"; do
+        control+=("$(platform_control_address "$name")")
+    done
+    platform_upstreams=$((${platform_upstreams:-0} + 1))
+    "$platform_upstream_program" --id="$id" --role="$role" \
+        --address="$fleet_net.$((100 + platform_upstreams)):9000" \
+        --data_center="$region-a" \
+        --control="$(IFS=,; echo "${control[*]}")" "$@" \
+        >>"$fleet_dir/$id.log" 2>&1 &
+    fleet_pids[$id]=$!
+}
+
+# platform_put FILE: sends a configuration once to each control VM until one
+# acknowledges it.
+platform_put() {
+    local name
+    for name in "${platform_control[@]}"; do
+        curl -sf -m 3 -o /dev/null -H 'Content-Type: application/json' \
+            --data-binary "@$1" \
+            "http://$(platform_control_address "$name")/hyssoploft/Config.Put" &&
+            return 0
+    done
+    return 1
+}
+
+# platform_ready NAME: whether an entry VM says that it takes requests.
+platform_ready() {
+    curl -sf -m 2 -o /dev/null \
+        "http://$(platform_address "$1" 8224)/hyssoploft/readyz"
+}
