LibControl: Hold one view of the fleet for each range

control_plane::update_metrics took the begin of a range from one call of current_fleet() and its end from another one. Each call reads the clock and may publish a new view, so that the range could begin in one map and end in another. send_hello iterated over a view that nothing of its own held. Both keep one view in a local. gateway::new_identifier drew its two random numbers as arguments of one call; a seed now gives the same identifier with every compiler.

--- a/Libraries/LibControl/control_plane.cpp
+++ b/Libraries/LibControl/control_plane.cpp
@@ -357,7 +357,9 @@
         return;
     }
     const auto payload = wire::encode(replica_->hello());
-    for (const auto& [id, it] : current_fleet()->vms)
+    // The view is held: a later call may publish another one.
+    const auto fleet = current_fleet();
+    for (const auto& [id, it] : fleet->vms)
     {
         const bool reachable = it.control && id != options_.vm &&
                                it.state != membership::vm_state::dead;
@@ -511,10 +513,12 @@
     metrics_.get_gauge("hyssoploft_config_version")
         .set(static_cast<double>(config_feed_->version()));
     metrics_.get_gauge("hyssoploft_leader").set(is_leader_ ? 1 : 0);
+    // One reading: two calls may return two views, and a range must not begin
+    // in one and end in the other.
+    const auto fleet = current_fleet();
     metrics_.get_gauge("hyssoploft_vms_alive")
         .set(static_cast<double>(std::count_if(
-            current_fleet()->vms.begin(), current_fleet()->vms.end(),
-            [](const auto& it) {
+            fleet->vms.begin(), fleet->vms.end(), [](const auto& it) {
                 return it.second.state == membership::vm_state::alive;
             })));
     if (replica_)
--- a/Libraries/LibGateway/request_context.cpp
+++ b/Libraries/LibGateway/request_context.cpp
@@ -305,9 +305,12 @@
 
 std::string new_identifier(core::random_source& random)
 {
+    // Drawn in this order, so that a seed gives the same identifier with every
+    // compiler.
+    const auto high = random.next();
+    const auto low = random.next();
     return absl::StrCat(
-        absl::Hex(random.next(), absl::kZeroPad16),
-        absl::Hex(random.next(), absl::kZeroPad16));
+        absl::Hex(high, absl::kZeroPad16), absl::Hex(low, absl::kZeroPad16));
 }
 
 } // namespace hyssoploft::gateway
