Tests: Let the manual clock advance at each reading

A clock that stands still hides a decision that reads the time twice.

LibFleet, LibRate, LibRetry and LibRouting read no clock (grep -rnE 'core::clock|now\(\)' finds none); they take the time as a parameter.

--- a/Tests/LibControl/evacuation_orders.cpp
+++ b/Tests/LibControl/evacuation_orders.cpp
@@ -266,4 +266,28 @@
     CHECK(t.log.changes == 1);
 }
 
+// Guards against decisions that take two readings of the clock for one moment.
+TEST_CASE("a clock that advances at each reading refuses no order")
+{
+    for (const auto step : clock_steps)
+    {
+        for (const bool active : {false, true})
+        {
+            CAPTURE(step.count());
+            CAPTURE(active);
+            operator_under_test t;
+            t.clock->set_step(step);
+            CHECK(t.send(active).ok());
+            CHECK(t.log.is_evacuated() == active);
+        }
+        operator_under_test outdated;
+        outdated.clock->set_step(step);
+        outdated.log.before_change = [&outdated] {
+            outdated.give_up_and_go_on();
+        };
+        CHECK(outdated.send(false).code() == absl::StatusCode::kAborted);
+        CHECK(outdated.log.is_evacuated());
+    }
+}
+
 } // namespace hyssoploft::tests
--- a/Tests/LibControl/lease_driver.cpp
+++ b/Tests/LibControl/lease_driver.cpp
@@ -205,4 +205,34 @@
     CHECK(t.transport.requests.size() == 1);
 }
 
+// Guards against decisions that take two readings of the clock for one moment.
+TEST_CASE("a clock that advances at each reading changes no grant")
+{
+    for (const auto step : clock_steps)
+    {
+        CAPTURE(step.count());
+        driver_under_test leader;
+        leader.clock.set_step(step);
+        leader.driver.role_changed(true, 1);
+        leader.clock.advance(10s);
+        driver_under_test t;
+        t.clock.set_step(step);
+        const auto floor = t.holder->share("shop", t.clock.now());
+        (void)t.holder->reserve("shop", 100, t.clock.now());
+        t.clock.advance(1s);
+        t.driver.tick();
+        REQUIRE_FALSE(t.transport.requests.empty());
+        leader.driver.serve(incoming(
+            "n1", message_type::lease_request,
+            t.transport.requests.front().payload));
+        const auto grant = leader.transport.responses.at(0);
+        REQUIRE(grant.type == message_type::lease_grant);
+        t.transport.answer(grant.type, grant.payload);
+        CHECK(t.holder->share("shop", t.clock.now()) > floor);
+        // One request per interval, also where time passes within a decision.
+        t.driver.tick();
+        CHECK(t.pending_address().empty());
+    }
+}
+
 } // namespace hyssoploft::tests
--- a/Tests/LibControl/ledger_service.cpp
+++ b/Tests/LibControl/ledger_service.cpp
@@ -415,4 +415,37 @@
     CHECK(calls == 1);
 }
 
+// Guards against decisions that take two readings of the clock for one moment.
+TEST_CASE("a clock that advances at each reading loses no record")
+{
+    for (const auto step : clock_steps)
+    {
+        CAPTURE(step.count());
+        service_under_test t;
+        t.clock.set_step(step);
+        int calls = 0;
+        t.service.begin(
+            make_request(),
+            [&](const absl::Status& status, const ledger::begin_result& out) {
+                ++calls;
+                CHECK(status.ok());
+                CHECK(out.outcome == begin_outcome::created);
+            });
+        t.run_posted();
+        t.transport.lose();
+        t.advance_and_run(100ms);
+        t.answer_committed(
+            ledger::command_status::ok, {begin_outcome::created, "", {}});
+        CHECK(calls == 1);
+        t.service.abandon(make_request());
+        t.run_posted();
+        t.transport.lose();
+        t.advance_and_run(5s);
+        t.advance_and_run(100ms);
+        REQUIRE(t.transport.requests.size() == 1);
+        t.answer_committed();
+        CHECK(t.service.unsettled() == 0);
+    }
+}
+
 } // namespace hyssoploft::tests
--- a/Tests/LibControl/proposal_client.cpp
+++ b/Tests/LibControl/proposal_client.cpp
@@ -270,4 +270,39 @@
     CHECK(t.pending_address() == "c2:1");
 }
 
+// Guards against decisions that take two readings of the clock for one moment.
+TEST_CASE("a clock that advances at each reading fails no command")
+{
+    const std::optional<propose_status> faults[] = {
+        std::nullopt, propose_status::not_leader, propose_status::overloaded,
+        propose_status::lost};
+    for (const auto step : clock_steps)
+    {
+        for (const auto& fault : faults)
+        {
+            CAPTURE(step.count());
+            client_under_test t;
+            t.clock.set_step(step);
+            t.propose();
+            REQUIRE_FALSE(t.pending_address().empty());
+            CHECK(t.transport.requests.front().timeout > 0s);
+            CHECK(t.transport.requests.front().timeout <= 1s);
+            if (fault)
+            {
+                t.answer(*fault, "");
+            }
+            else
+            {
+                t.transport.lose();
+            }
+            CHECK(t.calls == 0);
+            t.pass(100ms);
+            REQUIRE_FALSE(t.pending_address().empty());
+            t.answer(propose_status::committed, "c2");
+            CHECK(t.calls == 1);
+            CHECK(t.result.value() == "result");
+        }
+    }
+}
+
 } // namespace hyssoploft::tests
