--- a/Meta/CMake/hyssoploft.cmake
+++ b/Meta/CMake/hyssoploft.cmake
@@ -4,10 +4,11 @@
 target_compile_options(hyssoploft_options INTERFACE
     -Wall -Wextra -Wpedantic -Werror -Wshadow -Wnon-virtual-dtor
     # g++ 12 reports false positives of these inside Boost and the standard
-    # library at -O2.
-    -Wno-maybe-uninitialized -Wno-restrict -Wno-stringop-overflow
-    -Wno-stringop-overread -Wno-array-bounds -Wno-dangling-pointer
-    -Wno-tsan -Wno-mismatched-new-delete)
+    # library at -O2; clang does not know most of them.
+    "$<$<CXX_COMPILER_ID:GNU>:-Wno-maybe-uninitialized;-Wno-restrict>"
+    "$<$<CXX_COMPILER_ID:GNU>:-Wno-stringop-overflow;-Wno-stringop-overread>"
+    "$<$<CXX_COMPILER_ID:GNU>:-Wno-array-bounds;-Wno-dangling-pointer>"
+    "$<$<CXX_COMPILER_ID:GNU>:-Wno-tsan;-Wno-mismatched-new-delete>")
 target_compile_definitions(hyssoploft_options INTERFACE
     BOOST_ASIO_NO_DEPRECATED BOOST_ASIO_DISABLE_IO_URING)
 if(HYSSOPLOFT_SANITIZE STREQUAL "address")
--- a/Tests/LibResource/admin_api.cpp
+++ b/Tests/LibResource/admin_api.cpp
@@ -38,8 +38,9 @@
 {
     const auto store = make_store();
     std::size_t n = 0;
-    for (const auto& [id, version] : store.view().versions)
+    for (const auto& entry : store.view().versions)
     {
+        const auto& id = entry.first;
         const auto value = *find_resource(store.view(), id);
         core::findings found;
         const auto read = resource_from_json(to_json(value), "", found);
--- a/Tests/platform/upstream_announcement.cpp
+++ b/Tests/platform/upstream_announcement.cpp
@@ -181,8 +181,10 @@
         {":8080", ":65535"},
         {"10.0.0.9", "127.0.0.1"},
         {"10.0.0.9", "[fd00::9]"}};
-    for (const auto& [from, to] : cases)
+    for (const auto& row : cases)
     {
+        const auto& from = row.first;
+        const auto& to = row.second;
         CAPTURE(to);
         auto text = sound;
         text.replace(text.find(from), from.size(), to);
