Tests: Say that the manual clock is not thread safe

A reading with a step changes it. Only tests of LibControl on one thread use it; tests with threads have skipping_clock. A comment only; nothing was run.

--- a/Tests/Support/manual_clock.hpp
+++ b/Tests/Support/manual_clock.hpp
@@ -11,7 +11,7 @@
 
 /// Stands still by default. With a step each reading is later than the one
 /// before, so that a decision that reads the time twice compares two moments,
-/// with every compiler.
+/// with every compiler. Not thread safe: a reading changes it.
 class manual_clock final : public core::clock
 {
 public:
