LibRelay: Send slow idempotent calls to a second upstream

A request whose upstream stands still waits for it although another upstream of the region is idle; a repeat for silence comes only after 0.8 of the latency target, gives the first call up, and is then late itself.

With relay_services::hedge_share above 0, an idempotent request to a plain service is also sent to another upstream of the region once the answer is slow for its role. The first valid head wins; the other call is cancelled in the same turn. The hedge is charged to the repeat budget and the limit on attempts, and shows in `tried`, in hyssoploft_hedges_total and in hyssoploft_hedges_not_sent_total. Both calls end with their caller, their deadline and their VM. With a share of 0, the default, no timer is set and no latency is kept.

Measured: the 7 cases of hedged_calls.cpp (267 assertions) pass.

--- a/Libraries/LibRelay/relay_handler.cpp
+++ b/Libraries/LibRelay/relay_handler.cpp
@@ -278,6 +278,10 @@
     }
     auto terms = std::get<request_terms>(std::move(accepted));
     retry_budget_for(*services_, terms.role).on_request(terms.arrived);
+    if (auto* policy = slow_answers_for(*services_, terms.role))
+    {
+        policy->on_request(terms.arrived);
+    }
     const auto run =
         std::make_shared<relay_run>(*services_, it, std::move(terms));
     run->set_readmission([this, &it] {
--- a/Libraries/LibRelay/relay_run.cpp
+++ b/Libraries/LibRelay/relay_run.cpp
@@ -131,6 +131,7 @@
         }
         placement_ticket_ = placed.chosen->ticket;
         const auto next = co_await attempt(*view, *placed.chosen);
+        attempts_text_ += std::exchange(hedge_text_, {});
         services_.router->finish_call(
             placement_ticket_, last_end_, services_.clock->now());
         if (next == next_step::done)
@@ -159,6 +160,7 @@
     {
         current_attempt_->cancel();
     }
+    cancel_hedge("cancelled");
 }
 
 void end_open_runs(relay_services& services)
@@ -310,9 +312,13 @@
     first_event_deadline_ = attempt_started_at_ + first_answer_patience();
     watch_silence(first_event_deadline_);
     awaits_head_ = true;
+    start_hedge_timer();
     const auto result = co_await call.start(
         view, target, caller_.message(), framer_.last_id(), time_left());
     awaits_head_ = false;
+    record_first_answer(result, target);
+    const bool hedge_won =
+        is_hedge_running() && co_await has_hedge_won(result, call);
     if (!attempts_text_.empty())
     {
         attempts_text_ += ',';
@@ -320,6 +326,10 @@
     attempts_text_ += core::concat(
         target.upstream, call.via_vm().empty() ? "" : "@", call.via_vm(), ":",
         core::name_of(routing::placement_reason_names, target.reason));
+    if (hedge_won)
+    {
+        co_return co_await forward_hedge(result, call);
+    }
     if (result.execution != execution_state::not_run)
     {
         ++attempt_counts_.executions;
@@ -345,26 +355,32 @@
         current_attempt_ = nullptr;
         co_return after_failure(result, target);
     }
+    co_return co_await forward_answer(call, target);
+}
+
+http::asio::awaitable<relay_run::next_step> relay_run::forward_answer(
+    upstream_attempt& from, const routing::placement& target)
+{
     auto next = next_step::give_up;
-    if (call.parsed_answer().is_stream)
+    if (from.parsed_answer().is_stream)
     {
-        next = co_await forward_events(call);
+        next = co_await forward_events(from);
     }
     else if (caller_.answer_started())
     {
         // Only a stream goes on with a stream.
-        call.cancel();
+        from.cancel();
         attempts_text_ += ":no_stream";
         last_end_ = placement_outcome::errored;
         next = should_rerun() ? next_step::retry : next_step::give_up;
     }
     else
     {
-        next = co_await forward_body(call);
+        next = co_await forward_body(from);
     }
     stop_silence_watch();
     current_attempt_ = nullptr;
-    if (next == next_step::retry && call.via_vm().empty())
+    if (next == next_step::retry && from.via_vm().empty())
     {
         excluded_upstreams_.insert(target.upstream);
     }
--- a/Libraries/LibRelay/relay_run.hpp
+++ b/Libraries/LibRelay/relay_run.hpp
@@ -21,6 +21,8 @@
 
 namespace hyssoploft::relay {
 
+struct hedge_call;
+
 class relay_run : public std::enable_shared_from_this<relay_run>
 {
 public:
@@ -39,8 +41,8 @@
 
     http::asio::awaitable<void> run();
 
-    /// Cancels the current attempt. With relay_services::is_ending set, the
-    /// caller gets the final answer.
+    /// Cancels the current attempt and its hedge. With
+    /// relay_services::is_ending set, the caller gets the final answer.
     void cancel_attempt();
 
 private:
@@ -54,6 +56,10 @@
 
     http::asio::awaitable<next_step>
     attempt(const fleet::traffic_view& view, const routing::placement& target);
+    /// Forwards the answer whose head `from` has read, as far as it is one for
+    /// this caller.
+    http::asio::awaitable<next_step>
+    forward_answer(upstream_attempt& from, const routing::placement& target);
     http::asio::awaitable<next_step> forward_body(upstream_attempt& from);
     http::asio::awaitable<next_step> forward_events(upstream_attempt& from);
     next_step after_failure(
@@ -76,6 +82,40 @@
     void start_silence_timer();
     void on_silence();
     bool reserve_repeat();
+
+    // A hedge is a second call for the answer that the current attempt has not
+    // begun to receive. At most one is sent for a request.
+    void start_hedge_timer();
+    void on_slow_answer();
+    struct hedge_choice
+    {
+        retry::second_call_reason reason = retry::second_call_reason::allowed;
+        std::optional<routing::placement> target; ///< If allowed.
+    };
+    hedge_choice choose_hedge(
+        const fleet::traffic_view& view,
+        const retry::slow_answer_policy& policy, core::time_point now);
+    void send_hedge(
+        std::shared_ptr<const fleet::traffic_view> view,
+        const routing::placement& target, core::time_point now);
+    static http::asio::awaitable<void>
+    run_hedge(std::shared_ptr<relay_run> self, std::shared_ptr<hedge_call> it);
+    /// Decides between the current attempt, which has ended with `result`, and
+    /// its hedge. Waits for the hedge unless the attempt has a valid answer.
+    http::asio::awaitable<bool>
+    has_hedge_won(const attempt_result& result, upstream_attempt& first);
+    /// Counts the ended attempt and forwards the answer of its hedge.
+    http::asio::awaitable<next_step>
+    forward_hedge(const attempt_result& result, upstream_attempt& first);
+    /// Counts the hedge's end; its call is not used from now on.
+    void settle_hedge(
+        routing::placement_outcome end, bool may_have_run,
+        std::string_view outcome);
+    /// Cancels the hedge, if one is running.
+    void cancel_hedge(std::string_view outcome);
+    bool is_hedge_running() const;
+    void record_first_answer(
+        const attempt_result& result, const routing::placement& target);
     bool may_send_prompt(
         const fleet::traffic_view& view, core::time_point now) const;
     void release_reservation();
@@ -113,8 +153,14 @@
     std::set<std::string> excluded_regions_;
     upstream_attempt* current_attempt_ = nullptr; // Null between attempts.
     const routing::placement* current_target_ = nullptr; // Of that attempt.
-    bool awaits_head_ = false;           // Of the current attempt's answer.
-    std::uint64_t placement_ticket_ = 0; // Of the current placement.
+    bool awaits_head_ = false; // Of the current attempt's answer.
+    /// Null if none was sent. While it is not settled, attempt() runs and
+    /// current_attempt_ is the call that it competes with.
+    std::shared_ptr<hedge_call> hedge_;
+    std::string hedge_text_; // Of the hedge's end, for the log.
+    std::optional<http::asio::steady_timer> hedge_timer_;
+    std::uint64_t hedge_timer_number_ = 0; // Tells older handlers apart.
+    std::uint64_t placement_ticket_ = 0;   // Of the current placement.
     attempt_counts attempt_counts_;
     /// An error answer of an upstream, forwarded if no retry succeeds.
     std::optional<http::response> failed_answer_;
--- a/Libraries/LibRelay/relay_run_repeat.cpp
+++ b/Libraries/LibRelay/relay_run_repeat.cpp
@@ -60,6 +60,7 @@
 {
     auto counts = attempt_counts_;
     counts.executions += awaits_head_ ? 1 : 0;
+    counts.executions += is_hedge_running() ? 1 : 0;
     return !terms_.relayed &&
            relay::may_rerun(terms_.repeat, terms_.max_executions, counts);
 }
@@ -174,7 +175,7 @@
     const auto view = services_.source->view();
     // A call that is still connecting has a time limit of its own.
     const bool is_permitted =
-        current_attempt_->was_sent() && may_rerun() &&
+        current_attempt_->was_sent() && !is_hedge_running() && may_rerun() &&
         time_left() > min_time_left && budget.has_room(repeat_charges, now) &&
         !fleet::is_outdated(*view, now) && !check_admission(*view) &&
         may_send_prompt(*view, now);
--- a/Libraries/LibRelay/relay_services.hpp
+++ b/Libraries/LibRelay/relay_services.hpp
@@ -14,6 +14,7 @@
 #include <LibRelay/prompt_guard.hpp>
 #include <LibRelay/request_log.hpp>
 #include <LibRetry/attempt_budget.hpp>
+#include <LibRetry/slow_answer_policy.hpp>
 #include <LibRouting/backlog_router.hpp>
 #include <LibTelemetry/metrics.hpp>
 
@@ -42,6 +43,9 @@
     std::string region;
     std::string fleet_key; ///< Signs calls between VMs.
     repeat_limits repeats;
+    /// Limit on second calls for slow answers, as a share of a role's requests;
+    /// 0: none.
+    double hedge_share = 0;
     std::shared_ptr<fleet::traffic_source> source;
     std::shared_ptr<const call_codec> codec;
     std::shared_ptr<rate::rate_limiter> rates;
@@ -52,7 +56,8 @@
     core::random_source* random = nullptr; ///< Outlives the services.
     telemetry::metrics* metrics = nullptr; ///< Outlives the services.
     std::unique_ptr<routing::backlog_router> router;
-    std::map<std::string, retry::attempt_budget> retry_budgets; ///< By role.
+    std::map<std::string, retry::attempt_budget> retry_budgets;    ///< By role.
+    std::map<std::string, retry::slow_answer_policy> slow_answers; ///< By role.
     prompt_guard guard;
     request_log log;
     /// Set by the shutdown thread.
@@ -75,6 +80,19 @@
     return found->second;
 }
 
+/// The policy on slow answers of a role; null if it is switched off.
+inline retry::slow_answer_policy*
+slow_answers_for(relay_services& services, const std::string& role)
+{
+    if (services.hedge_share <= 0)
+    {
+        return nullptr;
+    }
+    retry::slow_answer_settings settings;
+    settings.share = services.hedge_share;
+    return &services.slow_answers.try_emplace(role, settings).first->second;
+}
+
 /// Properties of a request that are determined at admission.
 struct request_terms
 {
