--- a/Meta/make-manual.sh
+++ b/Meta/make-manual.sh
@@ -204,6 +204,8 @@
 - `--initial_voters` needs `--data_dir` and matters only until the log is
   founded. Give the same list to each founding VM; leave it in place later.
 - `--seeds` need not be reachable at the start and may name the VM itself.
+- `--hedge_share` is for processes with `--settings`, on the platform. Give the
+  same value to all entry VMs. OPERATIONS.md says how to see what it does.
 TEXT
 exit $stale;
 PERL
--- a/Services/hyssoploft/fleet_process.cpp
+++ b/Services/hyssoploft/fleet_process.cpp
@@ -217,6 +217,7 @@
     relay_->repeats = {
         settings_.repeat_share, settings_.repeat_slack,
         settings_.repeat_window};
+    relay_->hedge_share = options_.hedge_share;
     relay_->source = control_;
     relay_->codec = std::make_shared<platform::call_headers>();
     relay_->rates = control_->rates();
--- a/Services/hyssoploft/fleet_process.hpp
+++ b/Services/hyssoploft/fleet_process.hpp
@@ -29,6 +29,7 @@
     std::string settings_path;      ///< The platform's settings file.
     std::string fleet_key;          ///< Signs messages between VMs.
     std::uint16_t metrics_port = 0; ///< 0: no metrics.
+    double hedge_share = 0;         ///< See relay_services.
 };
 
 class fleet_process
--- a/Services/hyssoploft/main.cpp
+++ b/Services/hyssoploft/main.cpp
@@ -16,7 +16,7 @@
 ABSL_FLAG(
     std::string, settings, "",
     "Settings file of the users' platform; the other flags are then unused, "
-    "but for --fleet_key and --metrics_port.");
+    "but for --fleet_key, --metrics_port and --hedge_share.");
 ABSL_FLAG(
     std::string, fleet_key, "",
     "Key that signs messages between VMs on the users' platform.");
@@ -43,6 +43,13 @@
         return 2;
     }
     options.metrics_port = static_cast<std::uint16_t>(port);
+    const auto hedge_share = service::read_hedge_share();
+    if (!hedge_share.ok())
+    {
+        std::cerr << hedge_share.status().message() << '\n';
+        return 2;
+    }
+    options.hedge_share = *hedge_share;
     auto process = service::fleet_process::create(options);
     if (!process.ok())
     {
--- a/Services/hyssoploft/settings.cpp
+++ b/Services/hyssoploft/settings.cpp
@@ -65,6 +65,10 @@
     "Choice of upstreams: expected_time, round_robin or least_in_flight.");
 ABSL_FLAG(
     std::string, admission, "fair", "Order of waiting requests: fair or fifo.");
+ABSL_FLAG(
+    double, hedge_share, 0,
+    "Share of a role's requests, 0 to 0.2, whose slow calls may go to a second "
+    "upstream; 0: none. Only with --settings.");
 
 namespace hyssoploft::service {
 
@@ -94,11 +98,14 @@
     "traffic_threads",
     "max_connections",
     "router",
-    "admission"};
+    "admission",
+    "hedge_share"};
 
 constexpr std::size_t max_name_bytes = 64;
 constexpr std::uint32_t max_traffic_threads = 64;
 constexpr std::uint32_t max_key_id = 255;
+/// The platform's usual limit on repeats, which second calls count toward.
+constexpr double max_hedge_share = 0.2;
 
 class checker
 {
@@ -264,6 +271,18 @@
     return found.to_status();
 }
 
+absl::StatusOr<double> read_hedge_share()
+{
+    const double share = absl::GetFlag(FLAGS_hedge_share);
+    // False also for a value that is not a number.
+    if (share >= 0 && share <= max_hedge_share)
+    {
+        return share;
+    }
+    return absl::InvalidArgumentError(core::concat(
+        "--hedge_share: ", share, " is not from 0 to ", max_hedge_share));
+}
+
 absl::StatusOr<settings> read_settings()
 {
     checker check;
@@ -282,6 +301,10 @@
         check.choice("router", router_kind_names, absl::GetFlag(FLAGS_router));
     out.admission = check.choice(
         "admission", admission_kind_names, absl::GetFlag(FLAGS_admission));
+    if (absl::GetFlag(FLAGS_hedge_share) != 0)
+    {
+        check.add("hedge_share", "needs --settings");
+    }
     const auto status = check.status();
     if (!status.ok())
     {
--- a/Services/hyssoploft/settings.hpp
+++ b/Services/hyssoploft/settings.hpp
@@ -55,6 +55,10 @@
 /// INVALID_ARGUMENT with every variable that can't be read.
 absl::Status read_environment();
 
+/// The share of requests whose slow calls may go to a second upstream; 0: none.
+/// INVALID_ARGUMENT if the flag is out of range.
+absl::StatusOr<double> read_hedge_share();
+
 /// Checks all flags and reads the secret files. INVALID_ARGUMENT with every
 /// finding.
 absl::StatusOr<settings> read_settings();
