LibRelay: Don't blame the upstream of an answer that came with its hedge's

An answer that arrived in the turn in which its call lost counted as an error of its upstream, in the router and in `tried`, although it was sound. It counts as slow now, as other calls that lose. Found by reading; no test brings the two answers into one turn.

The tests of cancelled calls use a route timeout beyond the 30 s for which a test waits.

--- a/Libraries/LibRelay/relay_run_hedge.cpp
+++ b/Libraries/LibRelay/relay_run_hedge.cpp
@@ -302,7 +302,9 @@
 relay_run::forward_hedge(const attempt_result& result, upstream_attempt& first)
 {
     const auto now = services_.clock->now();
-    const bool was_slow = absl::IsCancelled(result.status);
+    // Its answer may have come in the turn in which it was cancelled.
+    const bool was_slow =
+        absl::IsCancelled(result.status) || is_final(result, first);
     const bool is_error = result.execution == execution_state::answered;
     attempts_text_ += core::concat(
         ":", was_slow ? "slow"
--- a/Tests/LibRelay/hedged_calls.cpp
+++ b/Tests/LibRelay/hedged_calls.cpp
@@ -43,18 +43,28 @@
         });
     }
 
-    void set_latency_target(core::duration target)
+    void
+    change_routes(const std::function<void(manifest::traffic_route&)>& change)
     {
         source->change([&](auto& view, auto&) {
             auto next = view.routes->source();
             for (auto& route : next.routes)
             {
-                route.latency_target = target;
+                change(route);
             }
             view.routes = std::make_shared<manifest::route_table>(next);
         });
     }
 
+    /// Calls that are not cancelled then go on for longer than a test waits
+    /// for their end.
+    void set_long_timeout()
+    {
+        change_routes([](auto& route) {
+            route.timeout = 90s;
+        });
+    }
+
     std::uint64_t hedges(const char* outcome)
     {
         return metrics
@@ -179,6 +189,7 @@
     {
         CAPTURE(second_wins);
         hedge_fixture it;
+        it.set_long_timeout();
         const reply fast{
             "", after_reply::keep, {{300ms, signed_answer(200, "fast")}}};
         it.upstream.set_replies({second_wins ? never : fast});
@@ -195,6 +206,7 @@
 TEST_CASE("both calls end when the caller leaves")
 {
     hedge_fixture it;
+    it.set_long_timeout();
     it.upstream.set_replies({never});
     it.second.set_replies({never});
     test_caller caller(it.address);
@@ -213,6 +225,7 @@
 TEST_CASE("both calls end when the VM stops, and the caller gets an answer")
 {
     hedge_fixture it;
+    it.set_long_timeout();
     it.upstream.set_replies({never});
     it.second.set_replies({never});
     test_caller caller(it.address);
@@ -273,13 +286,8 @@
          nullptr},
         {"the route permits one run", "/read/1",
          [](auto& it) {
-             it.source->change([](auto& view, auto&) {
-                 auto next = view.routes->source();
-                 for (auto& route : next.routes)
-                 {
-                     route.max_attempts = 1;
-                 }
-                 view.routes = std::make_shared<manifest::route_table>(next);
+             it.change_routes([](auto& route) {
+                 route.max_attempts = 1;
              });
          },
          nullptr},
@@ -315,7 +323,9 @@
         }
         // A hedge would be sent after 500 ms. After 800 ms an idempotent call
         // is repeated for its silence.
-        it.set_latency_target(1s);
+        it.change_routes([](auto& route) {
+            route.latency_target = 1s;
+        });
         it.upstream.set_replies(
             {{"", after_reply::keep, {{550ms, signed_answer(200, "x")}}}});
         test_caller caller(it.address);
