Tests: Check that a second call is refused before its share is charged

In a trial in which slow_answer_policy::check_call did not ask for the share, its tests passed, because they also asked take(). relay_run relies on the former. The test now fails in that trial (17,343 of 18,035 assertions).

Measured: test_libretry passes (21 cases, 18,204 assertions).

--- a/Tests/LibRetry/slow_answer_policy.cpp
+++ b/Tests/LibRetry/slow_answer_policy.cpp
@@ -211,10 +211,14 @@
             auto call = permitted_call();
             call.arrived = call.sent_at = now - 300ms;
             call.deadline = now + 3s;
-            if (policy.check_call(call, now) == reason::allowed)
+            const auto decided = policy.check_call(call, now);
+            if (decided != reason::allowed)
             {
-                sent += policy.take(now) ? 1 : 0;
+                CHECK_EQ(decided, reason::share_used_up);
+                continue;
             }
+            CHECK(policy.take(now));
+            ++sent;
         }
         CHECK_LE(sent, share * requests);
         CHECK_GE(sent, share * requests * 0.8);
