LibStorage, LibConsensus: Wait out a full disk

Cause: a write that is refused for lack of space closed the log for good, and opening a log needed the space of a second one, so a process on a full disk ended and could not start.

A failed sync stays final, whatever its error. The log is decoded record by record, without a list of all records beside the file's bytes. The fake file system has a full disk that refuses writes, names or truncation from any operation on.

Tests: the two rows "full disk" of "after a fault every later call fails" required the behaviour that is replaced. "space runs out at any operation and comes back" takes their place: each refused call fails with RESOURCE_EXHAUSTED until there is space, then succeeds, and exactly the accepted records are found.

--- a/Libraries/LibConsensus/file_log_storage.cpp
+++ b/Libraries/LibConsensus/file_log_storage.cpp
@@ -95,106 +95,140 @@
 
 } // namespace
 
-absl::StatusOr<std::unique_ptr<file_log_storage>> file_log_storage::open(
+absl::StatusOr<std::unique_ptr<file_log_storage>> file_log_storage::load(
     storage::file_system& files, const std::string& directory,
     core::random_source& random, persisted_state& stored)
 {
-    if (auto status = files.create_directory(directory); !status.ok())
+    const auto created = files.create_directory(directory);
+    if (!created.ok() && !absl::IsResourceExhausted(created))
     {
-        return status;
+        return created;
     }
     std::unique_ptr<file_log_storage> it(
         new file_log_storage(files, directory, random));
-    storage::recovered_log recovered;
-    auto log = storage::write_ahead_log::open(
-        files, directory, log_file_name, recovered);
-    if (absl::IsNotFound(log.status()))
+    auto log = storage::write_ahead_log::load(
+        files, directory, log_file_name, [&](std::string_view record) {
+            return it->replay(record, stored);
+        });
+    if (log.ok())
     {
-        const auto any = it->snapshots_.any();
-        if (!any.ok())
-        {
-            return any.status();
-        }
-        if (*any)
+        it->log_ = std::move(*log);
+    }
+    else if (!absl::IsNotFound(log.status()))
+    {
+        return log.status();
+    }
+    else if (auto status = created.ok() ? it->check_empty() : absl::OkStatus();
+             !status.ok())
+    {
+        return status;
+    }
+    if (it->base_index_ > 0)
+    {
+        auto bytes = it->snapshots_.read(it->base_index_);
+        if (!bytes.ok())
         {
-            return absl::DataLossError(core::concat(
-                directory, ": found snapshots but no ", log_file_name));
+            return absl::DataLossError(bytes.status().message());
         }
-        log = storage::write_ahead_log::create(
-            files, directory, log_file_name, random.next());
+        stored.base->bytes =
+            std::make_shared<const std::string>(std::move(*bytes));
     }
-    if (!log.ok())
+    it->has_identity_ = stored.self != 0;
+    while (stored.self == 0)
     {
-        return log.status();
+        stored.self = random.next();
+    }
+    it->self_ = stored.self;
+    return it;
+}
+
+absl::StatusOr<std::unique_ptr<file_log_storage>> file_log_storage::open(
+    storage::file_system& files, const std::string& directory,
+    core::random_source& random, persisted_state& stored)
+{
+    auto it = load(files, directory, random, stored);
+    if (!it.ok())
+    {
+        return it.status();
     }
-    it->log_ = std::move(*log);
-    if (auto status = it->load(recovered.records, stored); !status.ok())
+    if (auto status = (*it)->make_durable(); !status.ok())
     {
         return status;
     }
     return it;
 }
 
-absl::Status file_log_storage::load(
-    const std::vector<std::string>& records, persisted_state& stored)
+absl::Status file_log_storage::check_empty() const
 {
-    std::uint64_t base = 0;
-    for (const auto& it : records)
+    const auto any = storage::snapshot_store(files_, directory_).any();
+    if (!any.ok())
     {
-        auto batch = decode(it);
-        if (!batch.ok())
-        {
-            return batch.status();
-        }
-        stored.self = batch->self;
-        stored.state = batch->state;
-        stored.committed_index =
-            std::max(stored.committed_index, batch->committed_index);
-        if (batch->base)
+        return any.status();
+    }
+    return *any ? absl::DataLossError(core::concat(
+                      directory_, ": found snapshots but no ", log_file_name))
+                : absl::OkStatus();
+}
+
+absl::Status
+file_log_storage::replay(std::string_view record, persisted_state& stored)
+{
+    auto batch = decode(std::string(record));
+    if (!batch.ok())
+    {
+        return batch.status();
+    }
+    stored.self = batch->self;
+    stored.state = batch->state;
+    stored.committed_index =
+        std::max(stored.committed_index, batch->committed_index);
+    if (batch->base)
+    {
+        base_index_ = batch->base->last.index;
+        stored.entries.clear();
+        stored.base = snapshot{
+            batch->base->last, batch->base->members,
+            std::make_shared<const std::string>()};
+    }
+    return merge(stored.entries, base_index_, std::move(*batch));
+}
+
+absl::Status file_log_storage::make_durable()
+{
+    if (!log_)
+    {
+        if (auto status = files_.create_directory(directory_); !status.ok())
         {
-            base = batch->base->last.index;
-            stored.entries.clear();
-            stored.base = snapshot{
-                batch->base->last, batch->base->members,
-                std::make_shared<const std::string>()};
+            return status;
         }
-        if (auto status = merge(stored.entries, base, std::move(*batch));
-            !status.ok())
+        auto log = storage::write_ahead_log::create(
+            files_, directory_, log_file_name, random_.next());
+        if (!log.ok())
         {
-            return status;
+            return log.status();
         }
+        log_ = std::move(*log);
     }
-    if (stored.base && base > 0)
+    if (auto status = log_->make_durable(); !status.ok())
     {
-        auto bytes = snapshots_.read(base);
-        if (!bytes.ok())
-        {
-            return absl::DataLossError(bytes.status().message());
-        }
-        stored.base->bytes =
-            std::make_shared<const std::string>(std::move(*bytes));
+        return status;
     }
     // After a crash there may be a snapshot that the log does not refer to.
-    if (auto status = snapshots_.remove_except(base); !status.ok())
+    if (auto status = snapshots_.remove_except(base_index_); !status.ok())
     {
         return status;
     }
     // The identifier is used only after its record is durable, so a log
     // without records is new and can get one.
-    while (stored.self == 0)
+    if (!has_identity_)
     {
-        stored.self = random_.next();
-        if (stored.self != 0)
+        if (auto status = log_->append(encode({self_, {}, {}, {}, 0}));
+            !status.ok())
         {
-            if (auto status =
-                    log_->append(encode({stored.self, {}, {}, {}, 0}));
-                !status.ok())
-            {
-                return status;
-            }
+            return status;
         }
+        has_identity_ = true;
     }
-    self_ = stored.self;
     return absl::OkStatus();
 }
 
@@ -213,7 +247,7 @@
                                            {},
                                            batch.entries,
                                            batch.committed_index}));
-    failed_ = !status.ok();
+    failed_ = !status.ok() && !absl::IsResourceExhausted(status);
     return status;
 }
 
@@ -236,6 +270,7 @@
     {
         return status;
     }
+    base_index_ = base.last.index;
     return snapshots_.remove_except(base.last.index);
 }
 
--- a/Libraries/LibConsensus/log_storage.hpp
+++ b/Libraries/LibConsensus/log_storage.hpp
@@ -66,7 +66,9 @@
 public:
     virtual ~log_storage() = default;
 
-    /// Returns OK once the whole batch is durable. After an error the replica
+    /// Returns OK once the whole batch is durable. RESOURCE_EXHAUSTED if the
+    /// disk has no space: nothing of the batch counts, and the same batch must
+    /// be persisted again before any other. After another error the replica
     /// must stop, because the contents of its disk are unknown.
     virtual absl::Status persist(const persist_batch& batch) = 0;
 };
--- a/Libraries/LibStorage/file_system.hpp
+++ b/Libraries/LibStorage/file_system.hpp
@@ -22,7 +22,7 @@
     virtual ~file() = default;
 
     /// Writes all bytes at the end. After an error any prefix of them may be
-    /// in the file.
+    /// in the file. RESOURCE_EXHAUSTED if the disk has no space for them.
     virtual absl::Status append(std::string_view bytes) = 0;
 
     /// Returns OK once all bytes of the file are durable.
@@ -53,6 +53,12 @@
     virtual absl::Status
     truncate(const std::string& path, std::uint64_t size) = 0;
 
+    /// Writes these bytes over those of an existing file from `offset` on, and
+    /// syncs the file. Needs no space if the file is long enough.
+    virtual absl::Status overwrite(
+        const std::string& path, std::uint64_t offset,
+        std::string_view bytes) = 0;
+
     virtual absl::Status remove(const std::string& path) = 0;
 
     /// The names in the directory, sorted.
@@ -66,6 +72,15 @@
     virtual absl::Status sync_directory(const std::string& directory) = 0;
 };
 
+/// An error after which the state of the disk is unknown. Lack of space that
+/// is reported as RESOURCE_EXHAUSTED may be waited out; this may not.
+inline absl::Status unrecoverable(const absl::Status& error)
+{
+    return absl::IsResourceExhausted(error)
+               ? absl::UnavailableError(error.message())
+               : error;
+}
+
 } // namespace hyssoploft::storage
 
 #endif
--- a/Libraries/LibStorage/posix_file_system.cpp
+++ b/Libraries/LibStorage/posix_file_system.cpp
@@ -151,6 +151,35 @@
                : error_status("truncate", path, errno);
 }
 
+absl::Status posix_file_system::overwrite(
+    const std::string& path, std::uint64_t offset, std::string_view bytes)
+{
+    // Without O_APPEND, with which pwrite() ignores the offset.
+    const descriptor fd(::open(path.c_str(), O_WRONLY | O_CLOEXEC));
+    if (fd.get() < 0)
+    {
+        return error_status("open", path, errno);
+    }
+    while (!bytes.empty())
+    {
+        const ssize_t n = ::pwrite(
+            fd.get(), bytes.data(), bytes.size(), static_cast<off_t>(offset));
+        if (n < 0 && errno == EINTR)
+        {
+            continue;
+        }
+        if (n < 0)
+        {
+            return error_status("pwrite", path, errno);
+        }
+        bytes.remove_prefix(static_cast<std::size_t>(n));
+        offset += static_cast<std::uint64_t>(n);
+    }
+    return ::fdatasync(fd.get()) == 0
+               ? absl::OkStatus()
+               : unrecoverable(error_status("fdatasync", path, errno));
+}
+
 absl::Status posix_file_system::remove(const std::string& path)
 {
     return ::unlink(path.c_str()) == 0 ? absl::OkStatus()
--- a/Libraries/LibStorage/posix_file_system.hpp
+++ b/Libraries/LibStorage/posix_file_system.hpp
@@ -16,6 +16,9 @@
     absl::Status
     rename(const std::string& from, const std::string& to) override;
     absl::Status truncate(const std::string& path, std::uint64_t size) override;
+    absl::Status overwrite(
+        const std::string& path, std::uint64_t offset,
+        std::string_view bytes) override;
     absl::Status remove(const std::string& path) override;
     absl::StatusOr<std::vector<std::string>>
     list(const std::string& directory) override;
--- a/Libraries/LibStorage/snapshot_store.cpp
+++ b/Libraries/LibStorage/snapshot_store.cpp
@@ -61,6 +61,23 @@
 {
     const std::string path = directory_ + "/" + file_name(index);
     const std::string temporary = path + std::string(temporary_suffix);
+    if (auto status = write_temporary(temporary, index, bytes); !status.ok())
+    {
+        // The part that was written must not keep the disk full.
+        (void)files_.remove(temporary);
+        return status;
+    }
+    if (auto status = files_.rename(temporary, path); !status.ok())
+    {
+        (void)files_.remove(temporary);
+        return status;
+    }
+    return unrecoverable(files_.sync_directory(directory_));
+}
+
+absl::Status snapshot_store::write_temporary(
+    const std::string& temporary, std::uint64_t index, std::string_view bytes)
+{
     if (auto status = files_.remove(temporary);
         !status.ok() && !absl::IsNotFound(status))
     {
@@ -80,15 +97,7 @@
     {
         return status;
     }
-    if (auto status = (*opened)->sync(); !status.ok())
-    {
-        return status;
-    }
-    if (auto status = files_.rename(temporary, path); !status.ok())
-    {
-        return status;
-    }
-    return files_.sync_directory(directory_);
+    return (*opened)->sync();
 }
 
 absl::StatusOr<std::string> snapshot_store::read(std::uint64_t index)
@@ -144,7 +153,7 @@
             }
         }
     }
-    return files_.sync_directory(directory_);
+    return unrecoverable(files_.sync_directory(directory_));
 }
 
 } // namespace hyssoploft::storage
--- a/Libraries/LibStorage/snapshot_store.hpp
+++ b/Libraries/LibStorage/snapshot_store.hpp
@@ -19,7 +19,8 @@
         : files_(files), directory_(std::move(directory))
     {}
 
-    /// Returns OK once the snapshot is durable under its final name.
+    /// Returns OK once the snapshot is durable under its final name. After
+    /// RESOURCE_EXHAUSTED nothing of it is left and it may be written again.
     absl::Status write(std::uint64_t index, std::string_view bytes);
 
     /// The snapshot of this index; NOT_FOUND without the file, DATA_LOSS if it
@@ -33,6 +34,10 @@
     absl::Status remove_except(std::uint64_t index);
 
 private:
+    absl::Status write_temporary(
+        const std::string& temporary, std::uint64_t index,
+        std::string_view bytes);
+
     file_system& files_;
     std::string directory_;
 };
--- a/Libraries/LibStorage/write_ahead_log.cpp
+++ b/Libraries/LibStorage/write_ahead_log.cpp
@@ -12,6 +12,7 @@
 #include <LibCore/text.hpp>
 
 #include <optional>
+#include <utility>
 
 namespace hyssoploft::storage {
 
@@ -140,9 +141,9 @@
     return log;
 }
 
-absl::StatusOr<std::unique_ptr<write_ahead_log>> write_ahead_log::open(
+absl::StatusOr<std::unique_ptr<write_ahead_log>> write_ahead_log::load(
     file_system& files, const std::string& directory, const std::string& name,
-    recovered_log& found)
+    const record_visitor& visit)
 {
     std::unique_ptr<write_ahead_log> log(
         new write_ahead_log(files, directory, name));
@@ -157,7 +158,7 @@
             core::concat(log->path_, ": the file header is damaged"));
     }
     log->file_id_ = get_u64(*content, 8);
-    const std::uint64_t sealed = get_u64(*content, 16);
+    log->sealed_ = get_u64(*content, 16);
     std::size_t offset = file_header_bytes;
     while (offset < content->size())
     {
@@ -180,30 +181,154 @@
                 log->path_, ": record ", sequence, " at byte ", offset,
                 " stands in place of record ", log->next_sequence_));
         }
-        found.records.emplace_back(*payload);
+        if (auto status = visit(*payload); !status.ok())
+        {
+            return status;
+        }
+        log->last_record_offset_ = offset;
         offset += record_header_bytes + payload->size();
         ++log->next_sequence_;
     }
-    if (found.records.size() < sealed)
+    const std::uint64_t records = log->next_sequence_ - 1;
+    if (records < log->sealed_)
     {
         return absl::DataLossError(core::concat(
-            log->path_, ": ", found.records.size(), " records are intact of ",
-            sealed, " that were synced"));
+            log->path_, ": ", records, " records are intact of ", log->sealed_,
+            " that were synced"));
+    }
+    log->size_ = offset;
+    log->has_torn_tail_ = content->size() > offset;
+    log->is_durable_ = false;
+    return log;
+}
+
+absl::StatusOr<std::unique_ptr<write_ahead_log>> write_ahead_log::open(
+    file_system& files, const std::string& directory, const std::string& name,
+    recovered_log& found)
+{
+    auto log = load(files, directory, name, [&](std::string_view record) {
+        found.records.emplace_back(record);
+        return absl::OkStatus();
+    });
+    if (!log.ok())
+    {
+        return log.status();
+    }
+    const auto content = files.read((*log)->path_);
+    if (!content.ok())
+    {
+        return content.status();
+    }
+    found.cut_bytes = content->size() - (*log)->size_;
+    if (auto status = (*log)->make_durable(); !status.ok())
+    {
+        return status;
+    }
+    return log;
+}
+
+absl::Status write_ahead_log::make_durable()
+{
+    if (auto status = check_usable(); !status.ok())
+    {
+        return status;
+    }
+    if (is_durable_)
+    {
+        return absl::OkStatus();
     }
-    found.cut_bytes = content->size() - offset;
     // The last record may be in the page cache only, and after a failed sync
     // the kernel may count its pages as clean, so that another sync would not
     // write them. New pages are certain to be written.
-    if (auto status = log->rewrite(found.records, log->file_id_); !status.ok())
+    if (std::exchange(may_copy_, false))
+    {
+        auto content = files_.read(path_);
+        if (!content.ok())
+        {
+            return guarded(content.status());
+        }
+        content->resize(size_);
+        content->replace(
+            0, file_header_bytes,
+            make_file_header(file_id_, next_sequence_ - 1));
+        const auto status = replace_file(*content);
+        if (status.ok())
+        {
+            sealed_ = next_sequence_ - 1;
+            has_torn_tail_ = false;
+            is_durable_ = true;
+        }
+        if (!absl::IsResourceExhausted(status))
+        {
+            return guarded(status);
+        }
+    }
+    return guarded(refresh_last_record());
+}
+
+absl::Status write_ahead_log::refresh_last_record()
+{
+    // Left over from an earlier process or from replace_file().
+    if (auto status = files_.remove(path_ + ".tmp");
+        !status.ok() && !absl::IsNotFound(status))
     {
         return status;
     }
-    return log;
+    if (auto status = cut_tail(); !status.ok())
+    {
+        return status;
+    }
+    const auto content = files_.read(path_);
+    if (!content.ok())
+    {
+        return content.status();
+    }
+    // All records before the last one were synced before it was written. With
+    // no unsealed record, this syncs the cut of the tail.
+    const std::uint64_t from =
+        next_sequence_ - 1 > sealed_ ? last_record_offset_ : size_ - 1;
+    if (auto status = files_.overwrite(
+            path_, from, std::string_view(*content).substr(from));
+        !status.ok())
+    {
+        return status;
+    }
+    if (auto status = files_.sync_directory(directory_); !status.ok())
+    {
+        return unrecoverable(status);
+    }
+    auto opened = files_.open(path_);
+    if (!opened.ok())
+    {
+        return opened.status();
+    }
+    file_ = std::move(*opened);
+    is_durable_ = true;
+    return absl::OkStatus();
+}
+
+absl::Status write_ahead_log::cut_tail()
+{
+    if (!has_torn_tail_)
+    {
+        return absl::OkStatus();
+    }
+    auto status = files_.truncate(path_, size_);
+    has_torn_tail_ = !status.ok();
+    return status;
+}
+
+absl::Status write_ahead_log::check_usable() const
+{
+    return failure_.ok() ? absl::OkStatus()
+                         : absl::FailedPreconditionError(core::concat(
+                               path_, ": closed by an earlier error: ",
+                               core::to_std(failure_.message())));
 }
 
 absl::Status write_ahead_log::guarded(const absl::Status& result)
 {
-    if (!result.ok() && failure_.ok())
+    if (!result.ok() && !absl::IsResourceExhausted(result) && failure_.ok())
     {
         failure_ = result;
     }
@@ -212,11 +337,9 @@
 
 absl::Status write_ahead_log::append(std::string_view record)
 {
-    if (!failure_.ok())
+    if (auto status = make_durable(); !status.ok())
     {
-        return absl::FailedPreconditionError(core::concat(
-            path_, ": closed by an earlier error: ",
-            core::to_std(failure_.message())));
+        return status;
     }
     if (record.size() > max_record_bytes)
     {
@@ -227,15 +350,29 @@
 
 absl::Status write_ahead_log::do_append(std::string_view record)
 {
+    // A record after torn bytes would be taken for damage.
+    if (auto status = cut_tail(); !status.ok())
+    {
+        return status;
+    }
     const std::string bytes = make_record(record, next_sequence_, file_id_);
     if (auto status = file_->append(bytes); !status.ok())
     {
+        has_torn_tail_ = true;
+        if (absl::IsResourceExhausted(status))
+        {
+            // A record that was refused must not be found after a restart. If
+            // the disk refuses this as well, the next append repeats it.
+            const auto cut = cut_tail();
+            return cut.ok() || absl::IsResourceExhausted(cut) ? status : cut;
+        }
         return status;
     }
     if (auto status = file_->sync(); !status.ok())
     {
-        return status;
+        return unrecoverable(status);
     }
+    last_record_offset_ = size_;
     ++next_sequence_;
     size_ += bytes.size();
     return absl::OkStatus();
@@ -244,57 +381,78 @@
 absl::Status write_ahead_log::rewrite(
     const std::vector<std::string>& records, std::uint64_t file_id)
 {
-    if (!failure_.ok())
+    if (auto status = check_usable(); !status.ok())
     {
-        return absl::FailedPreconditionError(core::concat(
-            path_, ": closed by an earlier error: ",
-            core::to_std(failure_.message())));
+        return status;
     }
-    return guarded(do_rewrite(records, file_id));
+    std::string content = make_file_header(file_id, records.size());
+    std::uint64_t sequence = 1;
+    std::uint64_t last_offset = 0;
+    for (const auto& it : records)
+    {
+        last_offset = content.size();
+        content += make_record(it, sequence++, file_id);
+    }
+    if (auto status = guarded(replace_file(content)); !status.ok())
+    {
+        return status;
+    }
+    file_id_ = file_id;
+    next_sequence_ = sequence;
+    size_ = content.size();
+    sealed_ = records.size();
+    last_record_offset_ = last_offset;
+    has_torn_tail_ = false;
+    is_durable_ = true;
+    return absl::OkStatus();
 }
 
-absl::Status write_ahead_log::do_rewrite(
-    const std::vector<std::string>& records, std::uint64_t file_id)
+absl::Status write_ahead_log::replace_file(const std::string& content)
 {
     const std::string temporary = path_ + ".tmp";
-    // A file left over from a crash must not become part of the new one.
-    if (auto status = files_.remove(temporary);
-        !status.ok() && !absl::IsNotFound(status))
+    auto status = write_temporary(temporary, content);
+    if (status.ok())
     {
-        return status;
+        status = files_.rename(temporary, path_);
     }
-    auto opened = files_.open(temporary);
-    if (!opened.ok())
+    if (!status.ok())
     {
-        return opened.status();
+        // The part that was written must not keep the disk full.
+        (void)files_.remove(temporary);
+        return status;
     }
-    std::string content = make_file_header(file_id, records.size());
-    std::uint64_t sequence = 1;
-    for (const auto& it : records)
+    if (status = files_.sync_directory(directory_); !status.ok())
     {
-        content += make_record(it, sequence++, file_id);
+        return unrecoverable(status);
     }
-    if (auto status = (*opened)->append(content); !status.ok())
+    auto opened = files_.open(path_);
+    if (!opened.ok())
     {
-        return status;
+        return unrecoverable(opened.status());
     }
-    if (auto status = (*opened)->sync(); !status.ok())
+    file_ = std::move(*opened);
+    return absl::OkStatus();
+}
+
+absl::Status write_ahead_log::write_temporary(
+    const std::string& temporary, const std::string& content)
+{
+    // A file left over from a crash must not become part of the new one.
+    if (auto status = files_.remove(temporary);
+        !status.ok() && !absl::IsNotFound(status))
     {
         return status;
     }
-    if (auto status = files_.rename(temporary, path_); !status.ok())
+    auto opened = files_.open(temporary);
+    if (!opened.ok())
     {
-        return status;
+        return opened.status();
     }
-    if (auto status = files_.sync_directory(directory_); !status.ok())
+    if (auto status = (*opened)->append(content); !status.ok())
     {
         return status;
     }
-    file_ = std::move(*opened);
-    file_id_ = file_id;
-    next_sequence_ = sequence;
-    size_ = content.size();
-    return absl::OkStatus();
+    return (*opened)->sync();
 }
 
 } // namespace hyssoploft::storage
--- a/Libraries/LibStorage/write_ahead_log.hpp
+++ b/Libraries/LibStorage/write_ahead_log.hpp
@@ -11,6 +11,7 @@
 #include <LibStorage/file_system.hpp>
 
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <string>
 #include <string_view>
@@ -25,6 +26,9 @@
     std::uint64_t cut_bytes = 0;      ///< Size of the torn tail, now cut.
 };
 
+/// Receives the payload of each record; an error ends the reading.
+using record_visitor = std::function<absl::Status(std::string_view)>;
+
 class write_ahead_log
 {
 public:
@@ -39,19 +43,32 @@
         file_system& files, const std::string& directory,
         const std::string& name, std::uint64_t file_id);
 
-    /// Reads an existing log, cuts a torn tail and writes what is left to a
-    /// new synced file, because the last record may not have been synced.
-    /// NOT_FOUND without the file; DATA_LOSS if the header or a record before
-    /// the tail is bad.
+    /// Reads an existing log without writing to the disk. Nothing that was
+    /// read may be acknowledged before make_durable() returned OK, because the
+    /// last record may not have been synced. NOT_FOUND without the file;
+    /// DATA_LOSS if the header or a record before the tail is bad; errors of
+    /// the visitor.
+    static absl::StatusOr<std::unique_ptr<write_ahead_log>> load(
+        file_system& files, const std::string& directory,
+        const std::string& name, const record_visitor& visit);
+
+    /// Cuts a torn tail and makes all records durable: in a new file, or in
+    /// place if there is no space for one. RESOURCE_EXHAUSTED if the disk
+    /// refuses that too; the call may then be repeated.
+    absl::Status make_durable();
+
+    /// load() and make_durable(). `found` is complete unless load() fails.
     static absl::StatusOr<std::unique_ptr<write_ahead_log>> open(
         file_system& files, const std::string& directory,
         const std::string& name, recovered_log& found);
 
-    /// Writes one record and syncs it. After the first error every later call
-    /// fails with FAILED_PRECONDITION.
+    /// Writes one record and syncs it. After RESOURCE_EXHAUSTED nothing of the
+    /// record will be found, and the call may be repeated. After any other
+    /// error every later call fails with FAILED_PRECONDITION.
     absl::Status append(std::string_view record);
 
-    /// Replaces the content atomically by these records.
+    /// Replaces the content atomically by these records. After
+    /// RESOURCE_EXHAUSTED the old content stands; other errors as append().
     absl::Status
     rewrite(const std::vector<std::string>& records, std::uint64_t file_id);
 
@@ -66,10 +83,18 @@
         file_system& files, const std::string& directory,
         const std::string& name);
 
+    absl::Status check_usable() const;
     absl::Status guarded(const absl::Status& result);
     absl::Status do_append(std::string_view record);
+    /// Removes what a failed append or a crash left after the last record.
+    absl::Status cut_tail();
+    /// Overwrites the last record with the same bytes, so that the kernel
+    /// writes its pages again.
+    absl::Status refresh_last_record();
+    /// Writes the content to a new file that takes the name of the log.
+    absl::Status replace_file(const std::string& content);
     absl::Status
-    do_rewrite(const std::vector<std::string>& records, std::uint64_t file_id);
+    write_temporary(const std::string& temporary, const std::string& content);
 
     file_system& files_;
     std::string directory_;
@@ -77,7 +102,13 @@
     std::unique_ptr<file> file_;
     std::uint64_t file_id_ = 0;
     std::uint64_t next_sequence_ = 1; // Of the next record.
-    std::uint64_t size_ = 0;
+    std::uint64_t size_ = 0;     // Up to the end of the last intact record.
+    bool has_torn_tail_ = false; // There may be bytes after size_.
+    // Since load(), until make_durable() succeeds.
+    bool is_durable_ = true;
+    bool may_copy_ = true;                 // A new file was not refused yet.
+    std::uint64_t sealed_ = 0;             // Records that the header seals.
+    std::uint64_t last_record_offset_ = 0; // Valid if there is a record.
     absl::Status failure_; // The first error; not OK poisons the log.
 };
 
--- a/Tests/LibConsensus/storage.cpp
+++ b/Tests/LibConsensus/storage.cpp
@@ -172,3 +172,90 @@
         },
         20s));
 }
+
+// Guards against a batch that is lost or half applied when space runs out, and
+// against a directory that can't be opened after that.
+TEST_CASE("space runs out at any operation of a start or a batch")
+{
+    const std::vector<consensus::persist_batch> batches{
+        batch(1, {entry(1, 1), entry(2, 1), entry(3, 1)}),
+        batch(2, {entry(2, 2)}), replacement(2, 2), batch(3, {entry(4, 3)}),
+        replacement(4, 3)};
+    for (const auto refuses :
+         {tests::full_disk_refuses::writes, tests::full_disk_refuses::names,
+          tests::full_disk_refuses::truncation})
+    {
+        for (std::uint64_t at = 1; at <= 60; ++at)
+        {
+            CAPTURE(static_cast<int>(refuses));
+            CAPTURE(at);
+            tests::fake_file_system files(at);
+            core::seeded_random random(at);
+            files.refuses = refuses;
+            files.full_at = at;
+            const auto complete = [&](const auto& call) {
+                auto status = call();
+                if (!status.ok())
+                {
+                    CHECK(absl::IsResourceExhausted(status));
+                    CHECK(absl::IsResourceExhausted(call()));
+                    files.is_full = false;
+                    files.full_at = 0;
+                    status = call();
+                }
+                REQUIRE(status.ok());
+            };
+            persisted_state found;
+            auto storage = file_log_storage::load(files, "d", random, found);
+            REQUIRE(storage.ok());
+            complete([&] {
+                return (*storage)->make_durable();
+            });
+            for (const auto& it : batches)
+            {
+                complete([&] {
+                    return (*storage)->persist(it);
+                });
+            }
+            files.is_full = false;
+            files.full_at = 0;
+            files.restart();
+            persisted_state recovered;
+            REQUIRE(file_log_storage::open(files, "d", random, recovered).ok());
+            CHECK_EQ(recovered.self, found.self);
+            CHECK_EQ(recovered.state.term, 3);
+            CHECK_EQ(recovered.base->last.index, 4);
+            CHECK(
+                recovered.entries ==
+                std::vector<consensus::log_entry>{entry(5, 3)});
+        }
+    }
+}
+
+// Guards against an identity that other replicas hear of and a power failure
+// takes back, and against a start that fails on a full disk.
+TEST_CASE("a directory is loaded while its disk is full")
+{
+    tests::fake_file_system files(1);
+    core::seeded_random random(1);
+    files.refuses = tests::full_disk_refuses::truncation;
+    files.is_full = true;
+    persisted_state found;
+    auto storage = file_log_storage::load(files, "d", random, found);
+    REQUIRE(storage.ok());
+    CHECK(absl::IsResourceExhausted((*storage)->make_durable()));
+    files.is_full = false;
+    REQUIRE((*storage)->make_durable().ok());
+    REQUIRE((*storage)->persist(replacement(2, 2)).ok());
+
+    files.is_full = true;
+    persisted_state again;
+    auto second = file_log_storage::load(files, "d", random, again);
+    REQUIRE(second.ok());
+    CHECK_EQ(again.self, found.self);
+    CHECK_EQ(again.base->last.index, 2);
+    CHECK(again.entries == std::vector<consensus::log_entry>{entry(3, 2)});
+    CHECK(absl::IsResourceExhausted((*second)->make_durable()));
+    files.is_full = false;
+    CHECK((*second)->make_durable().ok());
+}
--- a/Tests/LibStorage/write_ahead_log.cpp
+++ b/Tests/LibStorage/write_ahead_log.cpp
@@ -205,16 +205,6 @@
              files.fail_sync_at = files.syncs + 1;
          },
          true},
-        {"full disk in an append",
-         [](auto& files) {
-             files.capacity = 120;
-         },
-         false},
-        {"full disk in a rewrite",
-         [](auto& files) {
-             files.capacity = 120;
-         },
-         true},
     };
     for (const auto& it : cases)
     {
@@ -227,7 +217,6 @@
         CHECK_FALSE(
             (it.rewrites ? (*log)->rewrite({large}, 5) : (*log)->append(large))
                 .ok());
-        files.capacity = SIZE_MAX;
         CHECK(absl::IsFailedPrecondition((*log)->append("later")));
         CHECK(absl::IsFailedPrecondition((*log)->rewrite({}, 6)));
 
@@ -242,3 +231,147 @@
         CHECK_EQ(last.records, found.records);
     }
 }
+
+namespace {
+
+using tests::full_disk_refuses;
+
+constexpr full_disk_refuses all_refusals[] = {
+    full_disk_refuses::writes, full_disk_refuses::names,
+    full_disk_refuses::truncation};
+
+/// Repeats the call after the first refusal, once there is space.
+template <typename Call>
+bool repeat_with_space(tests::fake_file_system& files, const Call& call)
+{
+    auto status = call();
+    if (!status.ok())
+    {
+        CHECK(absl::IsResourceExhausted(status));
+        CHECK(absl::IsResourceExhausted(call()));
+        files.is_full = false;
+        files.full_at = 0;
+        status = call();
+    }
+    return status.ok();
+}
+
+} // namespace
+
+// Guards against a torn record that later records follow, a log that stays
+// closed after a full disk, and records that were refused but are found.
+TEST_CASE("space runs out at any operation and comes back")
+{
+    for (const auto refuses : all_refusals)
+    {
+        for (std::uint64_t at = 1; at <= 30; ++at)
+        {
+            for (std::uint64_t seed = 1; seed <= 5; ++seed)
+            {
+                CAPTURE(static_cast<int>(refuses));
+                CAPTURE(at);
+                CAPTURE(seed);
+                tests::fake_file_system files(seed);
+                files.refuses = refuses;
+                auto log = create(files);
+                files.full_at = files.operations + at;
+                const std::string large(200, 'l');
+                records expected;
+                for (const auto* it : {"a", "b", "c"})
+                {
+                    expected.push_back(it + large);
+                    REQUIRE(repeat_with_space(files, [&] {
+                        return (*log)->append(expected.back());
+                    }));
+                }
+                expected = {"rewritten"};
+                REQUIRE(repeat_with_space(files, [&] {
+                    return (*log)->rewrite(expected, 5);
+                }));
+                expected.push_back("last");
+                REQUIRE(repeat_with_space(files, [&] {
+                    return (*log)->append(expected.back());
+                }));
+                files.full_at = 0;
+                files.is_full = false;
+                files.restart();
+                recovered_log found;
+                REQUIRE(open(files, found).ok());
+                CHECK_EQ(found.records, expected);
+                CHECK_EQ(found.cut_bytes, 0);
+            }
+        }
+    }
+}
+
+// Guards against a refused record that is found after a loss of power.
+TEST_CASE("power is lost while the disk is full")
+{
+    for (const auto refuses : all_refusals)
+    {
+        for (std::uint64_t seed = 1; seed <= 40; ++seed)
+        {
+            CAPTURE(static_cast<int>(refuses));
+            CAPTURE(seed);
+            tests::fake_file_system files(seed);
+            files.refuses = refuses;
+            fill(files, {"synced"});
+            recovered_log found;
+            auto log = open(files, found);
+            REQUIRE((*log)->append("also synced").ok());
+            files.is_full = true;
+            const std::string large(200, 'l');
+            CHECK(absl::IsResourceExhausted((*log)->append(large)));
+            files.restart();
+            files.is_full = false;
+            recovered_log last;
+            REQUIRE(open(files, last).ok());
+            CHECK_EQ(last.records, records{"synced", "also synced"});
+        }
+    }
+}
+
+// Guards against a start that needs the space of a second log, and against
+// records that are acknowledged from the page cache.
+TEST_CASE("a log is loaded from a full disk and made durable with space")
+{
+    for (const auto refuses : all_refusals)
+    {
+        for (std::uint64_t seed = 1; seed <= 20; ++seed)
+        {
+            CAPTURE(static_cast<int>(refuses));
+            CAPTURE(seed);
+            tests::fake_file_system files(seed);
+            files.refuses = refuses;
+            const std::string large(200, 'l');
+            fill(files, {large, "b"});
+            {
+                recovered_log found;
+                auto log = open(files, found);
+                files.fail_sync_at = files.syncs + 1;
+                CHECK_FALSE((*log)->append("doubtful").ok());
+            }
+            // Another process starts; there is no room for a second log.
+            files.is_full = true;
+            records loaded;
+            auto log = write_ahead_log::load(
+                files, "d", "log", [&](std::string_view it) {
+                    loaded.emplace_back(it);
+                    return absl::OkStatus();
+                });
+            REQUIRE(log.ok());
+            CHECK_EQ(loaded, records{large, "b", "doubtful"});
+            CHECK(absl::IsResourceExhausted((*log)->make_durable()));
+            CHECK(absl::IsResourceExhausted((*log)->make_durable()));
+            files.is_full = false;
+            files.capacity = files.content(path).size() + 60;
+            REQUIRE((*log)->make_durable().ok());
+            REQUIRE((*log)->append("next").ok());
+            files.capacity = SIZE_MAX;
+            files.restart();
+            recovered_log last;
+            REQUIRE(open(files, last).ok());
+            CHECK_EQ(last.records, records{large, "b", "doubtful", "next"});
+        }
+    }
+}
--- a/Tests/Support/fake_file_system.cpp
+++ b/Tests/Support/fake_file_system.cpp
@@ -75,6 +75,7 @@
         return false;
     }
     stopped_ = stops_within = ++operations == crash_at;
+    is_full = is_full || operations == full_at;
     return true;
 }
 
@@ -90,8 +91,13 @@
     {
         used += other->bytes.size();
     }
-    const std::size_t room = capacity - std::min(capacity, used);
-    const bool is_full = bytes.size() > room;
+    std::size_t room = capacity - std::min(capacity, used);
+    if (is_full)
+    {
+        // Any part but the whole may have found space.
+        room = bytes.empty() ? 0 : random_.below(bytes.size());
+    }
+    const bool refused = bytes.size() > room;
     bytes = bytes.substr(0, room);
     if (stops)
     {
@@ -102,7 +108,7 @@
     {
         return stopped();
     }
-    return is_full ? absl::ResourceExhaustedError("the disk is full")
+    return refused ? absl::ResourceExhaustedError("the disk is full")
                    : absl::OkStatus();
 }
 
@@ -126,13 +132,18 @@
     return absl::OkStatus();
 }
 
-absl::Status fake_file_system::change_names(names next)
+absl::Status fake_file_system::change_names(names next, bool needs_space)
 {
     bool stops = false;
     if (!begin(stops))
     {
         return stopped();
     }
+    if (needs_space && is_refused(full_disk_refuses::names))
+    {
+        return stops ? stopped()
+                     : absl::ResourceExhaustedError("the disk is full");
+    }
     current_ = std::move(next);
     states_.push_back(current_);
     return stops ? stopped() : absl::OkStatus();
@@ -145,7 +156,7 @@
     {
         names next = current_;
         next[path] = std::make_shared<inode>();
-        if (auto status = change_names(std::move(next)); !status.ok())
+        if (auto status = change_names(std::move(next), true); !status.ok())
         {
             return status;
         }
@@ -178,7 +189,7 @@
     }
     next[to] = it->second;
     next.erase(from);
-    return change_names(std::move(next));
+    return change_names(std::move(next), true);
 }
 
 absl::Status
@@ -189,10 +200,45 @@
     {
         return stopped();
     }
+    if (is_refused(full_disk_refuses::truncation))
+    {
+        return stops ? stopped()
+                     : absl::ResourceExhaustedError("the disk is full");
+    }
     current_.at(path)->bytes.resize(size);
     return stops ? stopped() : absl::OkStatus();
 }
 
+absl::Status fake_file_system::overwrite(
+    const std::string& path, std::uint64_t offset, std::string_view bytes)
+{
+    bool stops = false;
+    if (!begin(stops))
+    {
+        return stopped();
+    }
+    if (is_full)
+    {
+        return stops ? stopped()
+                     : absl::ResourceExhaustedError("the disk is full");
+    }
+    inode& it = *current_.at(path);
+    it.bytes.replace(offset, bytes.size(), bytes);
+    if (stops)
+    {
+        return stopped();
+    }
+    // Only these bytes are written; those that a failed sync dropped before
+    // them stay lost.
+    std::string& durable = it.durable;
+    durable.resize(std::max<std::size_t>(offset, durable.size()), '\0');
+    durable.replace(
+        offset, std::min(bytes.size(), durable.size() - offset), bytes);
+    durable.resize(it.bytes.size(), '\0');
+    it.drops_writes = it.drops_writes && durable != it.bytes;
+    return absl::OkStatus();
+}
+
 absl::Status fake_file_system::remove(const std::string& path)
 {
     names next = current_;
@@ -200,7 +246,7 @@
     {
         return absl::NotFoundError(path);
     }
-    return change_names(std::move(next));
+    return change_names(std::move(next), false);
 }
 
 absl::StatusOr<std::vector<std::string>>
--- a/Tests/Support/fake_file_system.hpp
+++ b/Tests/Support/fake_file_system.hpp
@@ -4,6 +4,8 @@
 // A file system in memory with the faults of a real one: a crash loses any
 // part of the unsynced bytes and names, a failed sync drops what it should
 // have written, the disk is full, and the machine stops at a chosen operation.
+// A full disk refuses writes, and on some file systems also new names and
+// truncation.
 
 #include <LibCore/random_source.hpp>
 #include <LibStorage/file_system.hpp>
@@ -16,6 +18,14 @@
 
 namespace hyssoploft::tests {
 
+/// What a full disk refuses; each value includes those before it.
+enum class full_disk_refuses
+{
+    writes, ///< Appended and overwritten bytes.
+    names,  ///< Created and renamed files.
+    truncation
+};
+
 class fake_file_system final : public storage::file_system
 {
 public:
@@ -27,6 +37,9 @@
     std::uint64_t fail_sync_at = 0; ///< Counted in syncs of files from 1.
     std::uint64_t syncs = 0;
     std::size_t capacity = SIZE_MAX; ///< Bytes in all files together.
+    std::uint64_t full_at = 0;       ///< Operation that finds the disk full.
+    bool is_full = false;            ///< Set at `full_at`; reset by the test.
+    full_disk_refuses refuses = full_disk_refuses::writes;
 
     bool is_stopped() const
     {
@@ -50,6 +63,9 @@
     absl::Status
     rename(const std::string& from, const std::string& to) override;
     absl::Status truncate(const std::string& path, std::uint64_t size) override;
+    absl::Status overwrite(
+        const std::string& path, std::uint64_t offset,
+        std::string_view bytes) override;
     absl::Status remove(const std::string& path) override;
     absl::StatusOr<std::vector<std::string>>
     list(const std::string& directory) override;
@@ -73,10 +89,14 @@
     {
         return absl::UnavailableError("the machine has stopped");
     }
+    bool is_refused(full_disk_refuses kind) const
+    {
+        return is_full && refuses >= kind;
+    }
     absl::Status write(inode& it, std::string_view bytes);
     absl::Status sync(inode& it);
     /// Changes the names now, and on the disk at the next directory sync.
-    absl::Status change_names(names next);
+    absl::Status change_names(names next, bool needs_space);
 
     core::seeded_random random_;
     names current_;
