LibConsensus: Give up leadership while the disk is full

Cause: a leader whose disk refuses writes commits through the other voters but applies nothing, so its callers wait until they give up; a follower in that state promises votes that it can't store.

Change: the driver tells the node that its storage is full. The leader hands over to the reachable voter with the longest log and steps down after one minimum election timeout; the replica starts no election, promises no vote, ignores a hand-over and takes no proposal. Messages that wait for the disk are bounded. Whatever was not written stays unacknowledged: to the others the disk is slow.

--- a/Libraries/LibConsensus/consensus_node.cpp
+++ b/Libraries/LibConsensus/consensus_node.cpp
@@ -117,6 +117,11 @@
     {
         tick_leader();
     }
+    else if (now_ >= election_deadline_ && storage_full_)
+    {
+        reset_election_deadline();
+        become_follower(state_.term, 0);
+    }
     else if (now_ >= election_deadline_)
     {
         start_pre_vote();
@@ -146,6 +151,11 @@
 {
     const std::uint64_t sequence =
         state_dirty_ ? submitted_sequence_ + 1 : state_sequence_;
+    if (storage_full_ &&
+        deferred_messages_.size() >= options_.max_deferred_messages)
+    {
+        deferred_messages_.erase(deferred_messages_.begin());
+    }
     deferred_messages_.push_back({sequence, {self_, to, std::move(body)}});
     if (sequence <= durable_sequence_)
     {
@@ -296,6 +306,10 @@
     {
         return absl::UnavailableError("a leadership transfer is in progress");
     }
+    if (storage_full_)
+    {
+        return absl::UnavailableError("the storage of this replica is full");
+    }
     if (command.size() > options_.max_command_bytes)
     {
         return absl::InvalidArgumentError("the command is too large");
@@ -333,10 +347,11 @@
     // Until an entry of its own term is committed, the leader can't know
     // whether an earlier change is committed.
     if (commit_index_ < first_index_of_term_ ||
-        commit_index_ < members_.current_index() || transfer_)
+        commit_index_ < members_.current_index() || transfer_ || storage_full_)
     {
         return absl::FailedPreconditionError(
-            "another membership change or a transfer is in progress");
+            "another membership change or a transfer is in progress, or the "
+            "storage is full");
     }
     auto next = members().with(change);
     if (!next.ok())
--- a/Libraries/LibConsensus/consensus_node.hpp
+++ b/Libraries/LibConsensus/consensus_node.hpp
@@ -45,6 +45,9 @@
     std::size_t snapshot_part_bytes = 256U << 10;
     std::size_t max_snapshot_bytes = 256U << 20; ///< Accepted from a peer.
     std::size_t max_pending_reads = 1024;
+    /// Messages that wait for a disk without space; the oldest are dropped, as
+    /// a network may drop them too.
+    std::size_t max_deferred_messages = 64;
 };
 
 enum class replica_role : std::uint8_t
@@ -109,13 +112,25 @@
     void receive(const message& it, core::time_point now);
 
     /// Reports that the batch with this sequence is durable. If writing a batch
-    /// failed, the driver must stop the replica instead.
+    /// failed, the driver must stop the replica instead, unless the disk has no
+    /// space: then it repeats the same batch later.
     void persisted(std::uint64_t sequence, core::time_point now);
 
+    /// Tells whether the storage refuses writes for lack of space. Meanwhile
+    /// the replica hands over leadership, or steps down if no other voter takes
+    /// it, starts no election, promises no vote and takes no proposal. What it
+    /// could not write stays unacknowledged, as with a slow disk.
+    void set_storage_full(bool full, core::time_point now);
+
+    bool is_storage_full() const
+    {
+        return storage_full_;
+    }
+
     /// Appends a command to the log. It is committed once an entry with exactly
     /// this position appears in node_output::committed; an entry of another
     /// term at the index means that the command was dropped. UNAVAILABLE if
-    /// the node is not the leader or is transferring leadership,
+    /// the node is not the leader, is transferring leadership or can't write,
     /// RESOURCE_EXHAUSTED above max_uncommitted_bytes, INVALID_ARGUMENT if the
     /// command is too large. After any of these errors the command is
     /// certainly not in the log.
@@ -266,6 +281,9 @@
     void tick_leader();
     void drop_leader_state();
     void advance_transfer();
+    /// Gives up leadership because the storage is full.
+    void give_up_leadership();
+    std::optional<replica_id> best_successor() const;
 
     // consensus_node_replication.cpp
     void handle(replica_id from, const append_request& it);
@@ -322,7 +340,10 @@
     std::uint64_t durable_sequence_ = 0;
     std::uint64_t state_sequence_ = 0; // Batch with the latest state_.
     std::optional<batch_in_flight> in_flight_;
+    // At most max_deferred_messages while storage_full_.
     std::vector<deferred_message> deferred_messages_;
+    bool storage_full_ = false;
+    bool handover_tried_ = false; // Since storage_full_ was set.
 
     core::time_point election_deadline_;
     core::time_point leader_contact_;
--- a/Libraries/LibConsensus/consensus_node_election.cpp
+++ b/Libraries/LibConsensus/consensus_node_election.cpp
@@ -165,7 +165,9 @@
         (it.last.term == last.term && it.last.index >= last.index);
     if (it.pre_vote)
     {
-        const bool granted = up_to_date && it.term > state_.term;
+        // A replica that can't store its vote would only delay the election.
+        const bool granted =
+            up_to_date && it.term > state_.term && !storage_full_;
         send(
             from,
             vote_response{granted ? it.term : state_.term, true, granted});
@@ -214,7 +216,8 @@
 
 void consensus_node::handle(replica_id from, const transfer_request& it)
 {
-    if (it.term == state_.term && from == leader_ && members().is_voter(self_))
+    if (it.term == state_.term && from == leader_ &&
+        members().is_voter(self_) && !storage_full_)
     {
         start_election(true);
     }
@@ -248,6 +251,14 @@
     {
         transfer_.reset();
     }
+    if (storage_full_ && !transfer_)
+    {
+        give_up_leadership();
+        if (!is_leader())
+        {
+            return;
+        }
+    }
     if (now_ >= next_heartbeat_)
     {
         next_heartbeat_ = now_ + options_.heartbeat;
@@ -256,6 +267,76 @@
     }
 }
 
+void consensus_node::set_storage_full(bool full, core::time_point now)
+{
+    advance_time(now);
+    if (storage_full_ == full)
+    {
+        return;
+    }
+    storage_full_ = full;
+    handover_tried_ = false;
+    if (is_leader())
+    {
+        if (full && !transfer_)
+        {
+            give_up_leadership();
+        }
+        return;
+    }
+    // With space again, the leader of the others has the time of one timeout
+    // to be heard before this replica starts an election.
+    reset_election_deadline();
+    if (!full)
+    {
+        return;
+    }
+    // The requests for votes of a candidate would disturb a later leader.
+    std::erase_if(deferred_messages_, [this](const deferred_message& it) {
+        return it.it.to == self_ ||
+               std::holds_alternative<vote_request>(it.it.body);
+    });
+    if (role_ != replica_role::follower)
+    {
+        become_follower(state_.term, 0);
+    }
+}
+
+std::optional<replica_id> consensus_node::best_successor() const
+{
+    std::optional<replica_id> best;
+    std::uint64_t best_index = 0;
+    for (const auto& [id, peer] : peers_)
+    {
+        const bool is_reachable =
+            now_ - peer.last_contact < options_.election_timeout_min;
+        if (members().is_voter(id) && is_reachable &&
+            (!best || peer.durable_index > best_index))
+        {
+            best = id;
+            best_index = peer.durable_index;
+        }
+    }
+    return best;
+}
+
+void consensus_node::give_up_leadership()
+{
+    const auto successor = best_successor();
+    if (!handover_tried_ && successor)
+    {
+        handover_tried_ = true;
+        if (transfer_leadership(*successor).ok())
+        {
+            return;
+        }
+    }
+    LOG(WARNING) << core::log_line("leader_without_space")
+                        .with("replica", self_)
+                        .with("term", state_.term);
+    become_follower(state_.term, 0);
+}
+
 absl::Status consensus_node::transfer_leadership(replica_id target)
 {
     if (!is_leader())
--- a/Tests/LibConsensus/cluster.cpp
+++ b/Tests/LibConsensus/cluster.cpp
@@ -13,6 +13,7 @@
 namespace {
 
 constexpr auto step_duration = milliseconds(1);
+constexpr auto space_probe_interval = milliseconds(250);
 
 } // namespace
 
@@ -78,11 +79,18 @@
     it.disk->restart();
     consensus::persisted_state found;
     auto storage =
-        consensus::file_log_storage::open(*it.disk, "data", random, found);
+        consensus::file_log_storage::load(*it.disk, "data", random, found);
     if (!storage.ok())
     {
         return false;
     }
+    const auto durable = (*storage)->make_durable();
+    if (!durable.ok() && !absl::IsResourceExhausted(durable))
+    {
+        return false;
+    }
+    it.is_loaded = durable.ok();
+    it.write_due = now + space_probe_interval;
     it.storage = std::move(*storage);
     it.id = found.self;
     it.machine.commands.clear();
@@ -160,7 +168,8 @@
         for (std::size_t n = 0; n < replicas.size(); ++n)
         {
             replica& to = replicas[n];
-            if (to.node && to.id == it.to && !cut_links_.contains({it.from, n}))
+            if (is_running(to) && to.id == it.to &&
+                !cut_links_.contains({it.from, n}))
             {
                 to.node->receive(received, local_time(to));
                 process_output(n);
@@ -170,18 +179,16 @@
     for (std::size_t n = 0; n < replicas.size(); ++n)
     {
         replica& it = replicas[n];
-        if (it.node && it.writing && it.write_due <= now)
+        if (it.node && !it.is_loaded && it.write_due <= now)
         {
-            const auto batch = *std::exchange(it.writing, std::nullopt);
-            if (!it.storage->persist(batch).ok())
-            {
-                crash(n);
-                continue;
-            }
-            it.node->persisted(batch.sequence, local_time(it));
-            process_output(n);
+            it.write_due = now + space_probe_interval;
+            it.is_loaded = it.storage->make_durable().ok();
         }
-        if (it.node && it.node->next_deadline() <= local_time(it))
+        if (is_running(it) && it.writing && it.write_due <= now)
+        {
+            finish_write(n);
+        }
+        if (is_running(it) && it.node->next_deadline() <= local_time(it))
         {
             it.node->tick(local_time(it));
             process_output(n);
@@ -189,6 +196,34 @@
     }
 }
 
+void cluster::set_full(std::size_t n, bool full)
+{
+    replicas[n].disk->refuses = full_disk_refuses::truncation;
+    replicas[n].disk->is_full = full;
+}
+
+void cluster::finish_write(std::size_t n)
+{
+    replica& it = replicas[n];
+    const auto status = it.storage->persist(*it.writing);
+    if (absl::IsResourceExhausted(status))
+    {
+        it.write_due = now + space_probe_interval;
+        it.node->set_storage_full(true, local_time(it));
+        process_output(n);
+        return;
+    }
+    const auto batch = *std::exchange(it.writing, std::nullopt);
+    if (!status.ok())
+    {
+        crash(n);
+        return;
+    }
+    it.node->set_storage_full(false, local_time(it));
+    it.node->persisted(batch.sequence, local_time(it));
+    process_output(n);
+}
+
 void cluster::process_output(std::size_t n)
 {
     replica& it = replicas[n];
--- a/Tests/LibConsensus/cluster.hpp
+++ b/Tests/LibConsensus/cluster.hpp
@@ -56,6 +56,7 @@
         std::uint64_t applied = 0;
         double clock_rate = 1; // Local time per unit of simulated time.
         std::optional<consensus::persist_batch> writing;
+        bool is_loaded = true; // False until its directory is durable.
         core::duration write_due{};
         std::map<std::uint64_t, std::optional<std::uint64_t>> reads;
     };
@@ -67,7 +68,10 @@
     std::size_t add();
     void crash(std::size_t n);
     /// Starts a replica from its disk; false if its storage can't be opened.
+    /// On a full disk it waits for space before it takes part.
     bool restart(std::size_t n);
+    /// The disk refuses every write, or accepts them again.
+    void set_full(std::size_t n, bool full);
     /// Replaces the replica by a new one with an empty disk.
     void lose_disk(std::size_t n);
     void set_link(std::size_t from, std::size_t to, bool up);
@@ -118,6 +122,11 @@
     };
 
     core::time_point local_time(const replica& it) const;
+    void finish_write(std::size_t n);
+    bool is_running(const replica& it) const
+    {
+        return it.node && it.is_loaded;
+    }
     void step();
     void process_output(std::size_t n);
     void send(std::size_t from, const consensus::message& it);
--- a/Tests/LibStorage/file_system.cpp
+++ b/Tests/LibStorage/file_system.cpp
@@ -47,6 +47,11 @@
     CHECK_EQ(*files.read(b), "onet!?");
     CHECK(files.sync_directory(directory).ok());
     CHECK_EQ(*files.list(directory), std::vector<std::string>{"b"});
+    const auto size = files.read(b)->size();
+    REQUIRE_GE(size, 2);
+    CHECK(files.overwrite(b, size - 2, "zz").ok());
+    CHECK_EQ(files.read(b)->size(), size);
+    CHECK(files.read(b)->ends_with("zz"));
     CHECK(files.remove(b).ok());
     CHECK(files.list(directory)->empty());
 }
