LibControl: Keep the process on a full disk of a control VM

Proposals get the status disk_full; the caller tries the other control VMs and names the reason if none takes over. A process that starts on a full disk loads its directory, serves what is committed, and announces its replica once the directory is durable.

--- a/Libraries/LibControl/control_messages.hpp
+++ b/Libraries/LibControl/control_messages.hpp
@@ -72,7 +72,8 @@
     committed = 0,
     not_leader = 1, ///< Not in the log; `leader_vm` may name the leader.
     overloaded = 2, ///< Not in the log.
-    lost = 3        ///< May or may not be in the log.
+    lost = 3,       ///< May or may not be in the log.
+    disk_full = 4   ///< Not in the log: the leader's disk has no space.
 };
 
 struct propose_result
--- a/Libraries/LibControl/control_plane.cpp
+++ b/Libraries/LibControl/control_plane.cpp
@@ -352,7 +352,7 @@
 
 void control_plane::send_hello()
 {
-    if (!replica_)
+    if (!replica_ || !replica_->is_announceable())
     {
         return;
     }
@@ -521,6 +521,8 @@
     {
         metrics_.get_gauge("hyssoploft_commit_index")
             .set(static_cast<double>(replica_->node().commit_index()));
+        metrics_.get_gauge("hyssoploft_disk_full")
+            .set(replica_->is_disk_full() ? 1 : 0);
         metrics_.get_gauge("hyssoploft_order_records")
             .set(static_cast<double>(replica_->state().records().size()));
     }
--- a/Libraries/LibControl/fleet_control.cpp
+++ b/Libraries/LibControl/fleet_control.cpp
@@ -294,6 +294,10 @@
 
 void fleet_control::send_hello()
 {
+    if (!replica_->is_announceable())
+    {
+        return;
+    }
     const auto payload = wire::encode(replica_->hello());
     for (const auto& vm : control_vms())
     {
--- a/Libraries/LibControl/fleet_control.hpp
+++ b/Libraries/LibControl/fleet_control.hpp
@@ -156,6 +156,12 @@
         return share_holder_;
     }
 
+    /// Whether the replica waits for space on its disk.
+    bool is_disk_full() const
+    {
+        return disk_full_;
+    }
+
     /// Set when the disk failed and the process has to end.
     bool failed() const
     {
@@ -188,6 +194,10 @@
     void resources_changed() override {}
     void manifest_changed() override;
     void role_changed(bool leader, std::uint64_t term) override;
+    void disk_full_changed(bool full) override
+    {
+        disk_full_ = full;
+    }
     void storage_failed(const absl::Status& status) override;
 
     // fleet_source
@@ -327,6 +337,7 @@
     std::shared_ptr<membership::fleet_view> fleet_; // Never null.
     std::uint64_t manifest_version_ = 0;
     std::string packed_manifest_; // Of manifest_version_.
+    core::time_point manifest_installed_at_{};
     std::shared_ptr<const manifest::route_table> routes_;
     std::uint64_t evacuation_revision_ = 0;
     std::set<std::string> evacuated_;
@@ -345,6 +356,7 @@
 
     std::atomic<bool> ready_{false};
     std::atomic<bool> leaving_{false};
+    std::atomic<bool> disk_full_{false};
     std::atomic<bool> failed_{false};
     std::thread thread_;
 };
--- a/Libraries/LibControl/fleet_control_view.cpp
+++ b/Libraries/LibControl/fleet_control_view.cpp
@@ -164,6 +164,7 @@
         std::make_shared<const manifest::route_table>(*std::move(decoded));
     manifest_version_ = version;
     packed_manifest_ = packed;
+    manifest_installed_at_ = clock_->now();
     std::set<std::string> roles;
     for (const auto& it : routes_->source().roles)
     {
--- a/Libraries/LibControl/proposal_client.cpp
+++ b/Libraries/LibControl/proposal_client.cpp
@@ -24,6 +24,7 @@
     result_handler done;
     bool may_be_logged = false; // An earlier attempt may have reached the log.
     core::time_point next_attempt_at{};
+    bool lacked_space = false; // An answer was propose_status::disk_full.
 };
 
 proposal_client::proposal_client(
@@ -127,8 +128,9 @@
                 schedule_retry(it);
                 return;
             }
-            if (decoded->status ==
-                static_cast<std::uint8_t>(propose_status::not_leader))
+            const auto status = static_cast<propose_status>(decoded->status);
+            if (status == propose_status::not_leader ||
+                status == propose_status::disk_full)
             {
                 mark_leader_failed(requested_vm);
             }
@@ -148,7 +150,9 @@
 void proposal_client::on_result(
     const std::shared_ptr<proposal_state>& it, const propose_result& result)
 {
-    switch (static_cast<propose_status>(result.status))
+    const auto status = static_cast<propose_status>(result.status);
+    it->lacked_space |= status == propose_status::disk_full;
+    switch (status)
     {
     case propose_status::committed:
         failed_leader_.clear();
@@ -163,6 +167,7 @@
         break;
     case propose_status::not_leader:
     case propose_status::overloaded:
+    case propose_status::disk_full:
         break;
     }
     leader_vm_ = result.leader_vm;
@@ -199,6 +204,13 @@
             "the command may or may not be committed"));
         return;
     }
+    if (it->lacked_space)
+    {
+        it->done(absl::UnavailableError(
+            "disk_full: the disk of the leader had no space and no other VM "
+            "took over; the command is not in the log"));
+        return;
+    }
     it->done(absl::UnavailableError(
         "no leader of the log could be reached; the command is not in the "
         "log"));
--- a/Libraries/LibControl/replica_driver.cpp
+++ b/Libraries/LibControl/replica_driver.cpp
@@ -33,13 +33,21 @@
     std::unique_ptr<replica_driver> it(
         new replica_driver(control, options, environment, clock));
     consensus::persisted_state found;
-    auto opened = consensus::file_log_storage::open(
-        it->file_system_, options.data_dir, random, found);
-    if (!opened.ok())
+    storage::file_system& files =
+        options.files ? *options.files : it->file_system_;
+    auto loaded = consensus::file_log_storage::load(
+        files, options.data_dir, random, found);
+    if (!loaded.ok())
     {
-        return opened.status();
+        return loaded.status();
     }
-    it->storage_ = *std::move(opened);
+    it->storage_ = *std::move(loaded);
+    const auto durable = it->storage_->make_durable();
+    if (!durable.ok() && !absl::IsResourceExhausted(durable))
+    {
+        return durable;
+    }
+    it->is_durable_ = durable.ok();
     const bool has_history = found.base.has_value();
     const replica_hello self{
         options.vm, found.self, has_history, options.initial_voters};
@@ -65,6 +73,10 @@
                      .with("replica", it->node_->self())
                      .with("term", it->node_->term())
                      .with("last_index", it->node_->last().index);
+    if (!it->is_durable_)
+    {
+        it->on_refused(durable);
+    }
     return it;
 }
 
@@ -84,6 +96,13 @@
 void replica_driver::tick()
 {
     const auto now = clock_.now();
+    repeat_refused_write(now);
+    if (!is_durable_)
+    {
+        // What is committed can be served although this replica waits.
+        process_node_output();
+        return;
+    }
     node_->tick(now);
     process_node_output();
     if (now >= next_membership_check_)
@@ -100,7 +119,7 @@
     const std::string& sender_vm, const std::string& bytes)
 {
     const auto decoded = wire::decode<consensus::message>(bytes);
-    if (!decoded.ok() || decoded->to != node_->self())
+    if (!is_durable_ || !decoded.ok() || decoded->to != node_->self())
     {
         return;
     }
@@ -135,6 +154,11 @@
              ""});
         return;
     }
+    if (space_.is_full())
+    {
+        done({static_cast<std::uint8_t>(propose_status::disk_full), "", ""});
+        return;
+    }
     if (pending_.size() >= max_pending_proposals)
     {
         done(
@@ -218,7 +242,9 @@
         if (out.persist)
         {
             roster_.set_has_history(!node_->members().voters.empty());
-            persist(*std::move(out.persist));
+            batch_ = std::make_shared<const consensus::persist_batch>(
+                *std::move(out.persist));
+            write_batch();
         }
         for (const auto& it : out.messages)
         {
@@ -240,29 +266,100 @@
     processing_output_ = false;
 }
 
-void replica_driver::persist(consensus::persist_batch batch)
+void replica_driver::start_write(std::function<absl::Status()> write)
 {
+    is_writing_ = true;
     boost::asio::post(
-        disk_pool_, [this, alive = alive_, batch = std::move(batch)]() {
-            auto status = storage_->persist(batch);
+        disk_pool_, [this, alive = alive_, write = std::move(write)]() {
+            auto status = write();
             boost::asio::post(
-                control_io_, [this, alive, status = std::move(status),
-                              sequence = batch.sequence] {
-                    if (!*alive)
+                control_io_, [this, alive, status = std::move(status)] {
+                    if (*alive)
                     {
-                        return;
+                        is_writing_ = false;
+                        on_written(status);
                     }
-                    if (!status.ok())
-                    {
-                        environment_.storage_failed(status);
-                        return;
-                    }
-                    node_->persisted(sequence, clock_.now());
-                    process_node_output();
                 });
         });
 }
 
+void replica_driver::write_batch()
+{
+    CHECK(is_durable_) << "a batch before the replica takes part";
+    start_write([this, batch = batch_] {
+        return storage_->persist(*batch);
+    });
+}
+
+void replica_driver::make_durable()
+{
+    start_write([this] {
+        return storage_->make_durable();
+    });
+}
+
+void replica_driver::repeat_refused_write(core::time_point now)
+{
+    if (is_writing_ || !space_.is_probe_due(now))
+    {
+        return;
+    }
+    if (is_durable_)
+    {
+        write_batch();
+    }
+    else
+    {
+        make_durable();
+    }
+}
+
+void replica_driver::on_written(const absl::Status& status)
+{
+    if (absl::IsResourceExhausted(status))
+    {
+        on_refused(status);
+        process_node_output();
+        return;
+    }
+    if (!status.ok())
+    {
+        environment_.storage_failed(status);
+        return;
+    }
+    const auto now = clock_.now();
+    if (const auto lasted = space_.accepted(now))
+    {
+        LOG(INFO) << core::log_line("disk_has_space")
+                         .with("replica", node_->self())
+                         .with("seconds", core::to_seconds(*lasted));
+        node_->set_storage_full(false, now);
+        environment_.disk_full_changed(false);
+    }
+    // The first write makes durable what was loaded; it is no batch.
+    if (std::exchange(is_durable_, true))
+    {
+        node_->persisted(batch_->sequence, now);
+        batch_.reset();
+    }
+    process_node_output();
+}
+
+void replica_driver::on_refused(const absl::Status& status)
+{
+    const auto now = clock_.now();
+    if (!space_.refused(now))
+    {
+        return;
+    }
+    LOG(WARNING) << core::log_line("disk_full")
+                        .with("replica", node_->self())
+                        .with("leader", is_leader() ? 1 : 0)
+                        .with("error", status.ToString());
+    node_->set_storage_full(true, now);
+    environment_.disk_full_changed(true);
+}
+
 void replica_driver::apply(const consensus::log_entry& entry)
 {
     std::string result;
@@ -398,7 +495,8 @@
 
 void replica_driver::compact_if_large()
 {
-    if (!compaction_.is_due())
+    // A snapshot needs more space than the entries that it replaces.
+    if (space_.is_full() || !compaction_.is_due())
     {
         return;
     }
--- a/Libraries/LibControl/replica_driver.hpp
+++ b/Libraries/LibControl/replica_driver.hpp
@@ -2,14 +2,16 @@
 #define HYSSOPLOFT_LIBCONTROL_REPLICA_DRIVER_HPP
 
 // Runs the replica of a control VM: drives the consensus node, syncs the log on
-// a separate thread, applies committed entries and completes proposals. All
-// functions are called on the control thread.
+// a separate thread, applies committed entries and completes proposals. While
+// the disk has no space, it repeats the refused write and takes no part in what
+// needs a write. All functions are called on the control thread.
 
 #include <LibConsensus/consensus_node.hpp>
 #include <LibConsensus/file_log_storage.hpp>
 #include <LibControl/compaction_rule.hpp>
 #include <LibControl/control_messages.hpp>
 #include <LibControl/control_state_machine.hpp>
+#include <LibControl/disk_space.hpp>
 #include <LibControl/replica_roster.hpp>
 #include <LibCore/clock.hpp>
 #include <LibLedger/log_clock.hpp>
@@ -33,6 +35,8 @@
     std::vector<std::string> initial_voters; ///< VMs of a new cluster.
     roster_limits limits{};
     consensus::node_options consensus{};
+    /// Must outlive the replica. Null: that of the operating system.
+    storage::file_system* files = nullptr;
 };
 
 /// Callbacks of the replica_driver to its owner.
@@ -52,7 +56,10 @@
 
     virtual void role_changed(bool leader, std::uint64_t term) = 0;
 
-    /// The disk failed: the process has to end.
+    /// The disk ran out of space, or has space again.
+    virtual void disk_full_changed(bool) {}
+
+    /// The disk failed in another way: the process has to end.
     virtual void storage_failed(const absl::Status& status) = 0;
 };
 
@@ -78,7 +85,8 @@
 class replica_driver final : public local_replica
 {
 public:
-    /// Reads the data directory. Returns errors of file_log_storage::open().
+    /// Reads the data directory. Returns errors of file_log_storage::open()
+    /// but lack of space, for which the replica waits.
     static absl::StatusOr<std::unique_ptr<replica_driver>> create(
         boost::asio::io_context& control, const replica_options& options,
         replica_environment& environment, core::clock& clock,
@@ -93,6 +101,24 @@
     void on_message(const std::string& sender_vm, const std::string& bytes);
     void on_hello(const replica_hello& it);
 
+    /// Whether other replicas may hear of this one. False until its identifier
+    /// and what it read from its directory are durable.
+    bool is_announceable() const
+    {
+        return is_durable_;
+    }
+
+    /// Whether the disk thread has work whose end is not yet processed.
+    bool is_writing() const
+    {
+        return is_writing_;
+    }
+
+    bool is_disk_full() const
+    {
+        return space_.is_full();
+    }
+
     const replica_hello& hello() const
     {
         return roster_.self();
@@ -134,7 +160,13 @@
         replica_environment& environment, core::clock& clock);
 
     void process_node_output();
-    void persist(consensus::persist_batch batch);
+    /// Runs `write` on the disk thread and passes its result to on_written().
+    void start_write(std::function<absl::Status()> write);
+    void write_batch();
+    void make_durable();
+    void on_written(const absl::Status& status);
+    void on_refused(const absl::Status& status);
+    void repeat_refused_write(core::time_point now);
     void apply(const consensus::log_entry& entry);
     void handle_role_change(const consensus::role_change& change);
     void fail_pending(propose_status status);
@@ -148,7 +180,14 @@
     replica_environment& environment_;
     core::clock& clock_;
     storage::posix_file_system file_system_;
-    std::unique_ptr<consensus::file_log_storage> storage_; // Disk thread only.
+    // Used by the disk thread only, and by create() before it.
+    std::unique_ptr<consensus::file_log_storage> storage_;
+    disk_space space_;
+    bool is_durable_ = false; // What was loaded is on the disk.
+    bool is_writing_ = false; // The disk thread is at work.
+    // Set from its emission by the node until it is durable, which is after
+    // is_durable_ became true.
+    std::shared_ptr<const consensus::persist_batch> batch_;
     std::unique_ptr<consensus::consensus_node> node_;
     control_state_machine state_;
     replica_roster roster_;
--- a/Services/hyssoploft/fleet_process.cpp
+++ b/Services/hyssoploft/fleet_process.cpp
@@ -389,6 +389,8 @@
         stopped_ = true;
         return;
     }
+    metrics_.get_gauge("hyssoploft_disk_full")
+        .set(control_->is_disk_full() ? 1 : 0);
     if (!leaving_)
     {
         control_->set_ready(relay_ && is_ready());
--- a/Tests/LibControl/proposal_client.cpp
+++ b/Tests/LibControl/proposal_client.cpp
@@ -6,6 +6,7 @@
 #include <LibControl/fake_transport.hpp>
 #include <Support/manual_clock.hpp>
 
+#include <absl/strings/match.h>
 #include <doctest.h>
 
 #include <chrono>
@@ -80,7 +81,8 @@
          {fault{"lost answer", std::nullopt},
           fault{"no leader yet", propose_status::not_leader},
           fault{"leader overloaded", propose_status::overloaded},
-          fault{"leader stepped down", propose_status::lost}})
+          fault{"leader stepped down", propose_status::lost},
+          fault{"leader without space", propose_status::disk_full}})
     {
         CAPTURE(it.name);
         client_under_test t;
@@ -129,6 +131,9 @@
               absl::StatusCode::kUnavailable},
           fault{
               "always overloaded", propose_status::overloaded,
+              absl::StatusCode::kUnavailable},
+          fault{
+              "leader without space", propose_status::disk_full,
               absl::StatusCode::kUnavailable}})
     {
         CAPTURE(it.name);
@@ -148,6 +153,10 @@
         t.pass(5s);
         CHECK(t.calls == 1);
         CHECK(t.result.status().code() == it.expected);
+        // An operator must learn why no leader took the command.
+        CHECK_EQ(
+            absl::StartsWith(t.result.status().message(), "disk_full"),
+            it.first == propose_status::disk_full);
         CHECK(t.pending_address().empty());
     }
 }
