LibControl: Test when a control VM gets the manifest

Cause: the rule that a lagging control VM gets the manifest in the exchange of state had no test.

Change: the rule is a function of its own with a table of cases; the behaviour is the same. test_libcontrol passes (69 cases).

--- a/Libraries/LibControl/fleet_control_sync.cpp
+++ b/Libraries/LibControl/fleet_control_sync.cpp
@@ -1,6 +1,7 @@
 // State exchange between VMs and control VMs.
 
 #include <LibControl/fleet_control.hpp>
+#include <LibControl/manifest_delivery.hpp>
 
 #include <LibCore/log_line.hpp>
 #include <LibCore/text.hpp>
@@ -27,10 +28,6 @@
 constexpr std::chrono::milliseconds remote_sync_interval{800};
 /// Covers a round trip between regions and a scheduling delay.
 constexpr std::chrono::milliseconds sync_timeout{900};
-/// A control VM that lacks the manifest for longer does not read it from its
-/// log: more than a heartbeat of the leader. With the next exchange of state it
-/// is known there before an operator's read times out.
-constexpr std::chrono::milliseconds log_delivery_time{300};
 /// Delay before the next request to a control VM that did not answer.
 constexpr std::chrono::milliseconds sync_retry_delay{300};
 /// Time after a start until a control VM has the announcements of all
@@ -243,10 +240,9 @@
             upstreams_.announcements_within(announcement_forward_window, now);
     }
     out.manifest_version = manifest_version_;
-    // A control VM reads the manifest from its log, unless its disk is full.
-    const bool wants_manifest =
-        !it.self.control || now - manifest_installed_at_ >= log_delivery_time;
-    if (manifest_version_ > it.manifest_version && wants_manifest)
+    if (is_manifest_due(
+            manifest_version_, now - manifest_installed_at_,
+            it.manifest_version, it.self.control))
     {
         out.manifest = packed_manifest_;
     }
