LibStorage: Open a log in parts

Cause: a start held the whole file of the log beside its decoded entries, and once more as it copied the file.

Change: records are read one after the other through a buffer of 256 KiB, and the file is copied in such parts. The whole file is read only if a record is not intact, to tell a torn tail from damage.

The memory of a process at its start was not measured.

--- a/Libraries/LibStorage/file_system.hpp
+++ b/Libraries/LibStorage/file_system.hpp
@@ -45,6 +45,11 @@
     /// The whole content; NOT_FOUND if there is no such file.
     virtual absl::StatusOr<std::string> read(const std::string& path) = 0;
 
+    /// Up to `size` bytes from `offset` on, fewer only at the end of the file;
+    /// NOT_FOUND if there is no such file.
+    virtual absl::StatusOr<std::string> read_part(
+        const std::string& path, std::uint64_t offset, std::size_t size) = 0;
+
     /// Replaces `to` atomically.
     virtual absl::Status
     rename(const std::string& from, const std::string& to) = 0;
--- a/Libraries/LibStorage/posix_file_system.cpp
+++ b/Libraries/LibStorage/posix_file_system.cpp
@@ -135,6 +135,39 @@
     }
 }
 
+absl::StatusOr<std::string> posix_file_system::read_part(
+    const std::string& path, std::uint64_t offset, std::size_t size)
+{
+    const descriptor fd(::open(path.c_str(), O_RDONLY | O_CLOEXEC));
+    if (fd.get() < 0)
+    {
+        return error_status("open", path, errno);
+    }
+    std::string content(size, '\0');
+    std::size_t used = 0;
+    while (used < size)
+    {
+        const ssize_t n = ::pread(
+            fd.get(), content.data() + used, size - used,
+            static_cast<off_t>(offset + used));
+        if (n < 0 && errno == EINTR)
+        {
+            continue;
+        }
+        if (n < 0)
+        {
+            return error_status("pread", path, errno);
+        }
+        if (n == 0)
+        {
+            break;
+        }
+        used += static_cast<std::size_t>(n);
+    }
+    content.resize(used);
+    return content;
+}
+
 absl::Status
 posix_file_system::rename(const std::string& from, const std::string& to)
 {
--- a/Libraries/LibStorage/posix_file_system.hpp
+++ b/Libraries/LibStorage/posix_file_system.hpp
@@ -13,6 +13,9 @@
     absl::StatusOr<std::unique_ptr<file>>
     open(const std::string& path) override;
     absl::StatusOr<std::string> read(const std::string& path) override;
+    absl::StatusOr<std::string> read_part(
+        const std::string& path, std::uint64_t offset,
+        std::size_t size) override;
     absl::Status
     rename(const std::string& from, const std::string& to) override;
     absl::Status truncate(const std::string& path, std::uint64_t size) override;
--- a/Libraries/LibStorage/write_ahead_log.cpp
+++ b/Libraries/LibStorage/write_ahead_log.cpp
@@ -11,6 +11,7 @@
 
 #include <LibCore/text.hpp>
 
+#include <algorithm>
 #include <optional>
 #include <utility>
 
@@ -23,6 +24,8 @@
 constexpr std::size_t file_header_bytes = 32;
 constexpr std::size_t record_header_bytes = 40;
 constexpr std::size_t header_checksum_offset = 32;
+/// A log is read and copied in parts of this size, or of one record.
+constexpr std::size_t part_bytes = std::size_t{256} << 10;
 
 std::string make_file_header(std::uint64_t file_id, std::uint64_t sealed)
 {
@@ -77,19 +80,77 @@
         get_u64(content, offset + 24)};
 }
 
-/// The payload of the intact record at `offset`, if there is one.
-std::optional<std::string_view> parse_record(
-    std::string_view content, std::size_t offset, std::uint64_t file_id,
-    std::uint64_t& sequence)
+/// Reads a file from its begin to its end without holding all of it.
+class sequential_reader
 {
-    const auto header = parse_header(content, offset, file_id);
-    if (!header ||
-        header->length > content.size() - offset - record_header_bytes)
+public:
+    sequential_reader(file_system& files, const std::string& path)
+        : files_(files), path_(path)
+    {}
+
+    /// The next `size` bytes, fewer at the end of the file; valid until the
+    /// next call. They remain the next ones until skip().
+    absl::StatusOr<std::string_view> peek(std::size_t size)
+    {
+        if (buf_.size() - used_ < size)
+        {
+            buf_.erase(0, used_);
+            used_ = 0;
+            const auto wanted = std::max(size - buf_.size(), part_bytes);
+            auto part = files_.read_part(path_, offset_ + buf_.size(), wanted);
+            if (!part.ok())
+            {
+                return part.status();
+            }
+            buf_ += *part;
+        }
+        return std::string_view(buf_).substr(used_, size);
+    }
+
+    /// Passes over bytes that peek() has returned.
+    void skip(std::size_t size)
+    {
+        used_ += size;
+        offset_ += size;
+    }
+
+    std::uint64_t offset() const
+    {
+        return offset_;
+    }
+
+private:
+    file_system& files_;
+    const std::string& path_;
+    std::string buf_;
+    std::size_t used_ = 0;     // Part of buf_ that was skipped.
+    std::uint64_t offset_ = 0; // In the file, of the byte at used_.
+};
+
+/// The payload of the record at the reader's position, if it is intact.
+absl::StatusOr<std::optional<std::string_view>> read_record(
+    sequential_reader& in, std::uint64_t file_id, std::uint64_t& sequence)
+{
+    auto bytes = in.peek(record_header_bytes);
+    if (!bytes.ok())
+    {
+        return bytes.status();
+    }
+    const auto header = parse_header(*bytes, 0, file_id);
+    if (!header || header->length > write_ahead_log::max_record_bytes)
+    {
+        return std::nullopt;
+    }
+    bytes = in.peek(record_header_bytes + header->length);
+    if (!bytes.ok())
+    {
+        return bytes.status();
+    }
+    if (bytes->size() < record_header_bytes + header->length)
     {
         return std::nullopt;
     }
-    const std::string_view payload =
-        content.substr(offset + record_header_bytes, header->length);
+    const auto payload = bytes->substr(record_header_bytes);
     if (checksum(payload, file_id) != header->payload_checksum)
     {
         return std::nullopt;
@@ -147,32 +208,53 @@
 {
     std::unique_ptr<write_ahead_log> log(
         new write_ahead_log(files, directory, name));
-    const auto content = files.read(log->path_);
-    if (!content.ok())
+    sequential_reader in(files, log->path_);
+    const auto header = in.peek(file_header_bytes);
+    if (!header.ok())
     {
-        return content.status();
+        return header.status();
     }
-    if (!is_file_header(*content))
+    if (!is_file_header(*header))
     {
         return absl::DataLossError(
             core::concat(log->path_, ": the file header is damaged"));
     }
-    log->file_id_ = get_u64(*content, 8);
-    log->sealed_ = get_u64(*content, 16);
-    std::size_t offset = file_header_bytes;
-    while (offset < content->size())
+    log->file_id_ = get_u64(*header, 8);
+    log->sealed_ = get_u64(*header, 16);
+    in.skip(file_header_bytes);
+    for (;;)
     {
+        const auto rest = in.peek(1);
+        if (!rest.ok())
+        {
+            return rest.status();
+        }
+        if (rest->empty())
+        {
+            break;
+        }
+        const auto offset = in.offset();
         std::uint64_t sequence = 0;
-        const auto payload =
-            parse_record(*content, offset, log->file_id_, sequence);
-        if (!payload)
+        const auto payload = read_record(in, log->file_id_, sequence);
+        if (!payload.ok())
         {
+            return payload.status();
+        }
+        if (!*payload)
+        {
+            // At most one record, unless the file is damaged.
+            const auto content = files.read(log->path_);
+            if (!content.ok())
+            {
+                return content.status();
+            }
             if (has_record_after(*content, offset + 1, log->file_id_))
             {
                 return absl::DataLossError(core::concat(
                     log->path_, ": the record at byte ", offset,
                     " is damaged and records follow it"));
             }
+            log->has_torn_tail_ = true;
             break;
         }
         if (sequence != log->next_sequence_)
@@ -181,12 +263,12 @@
                 log->path_, ": record ", sequence, " at byte ", offset,
                 " stands in place of record ", log->next_sequence_));
         }
-        if (auto status = visit(*payload); !status.ok())
+        if (auto status = visit(**payload); !status.ok())
         {
             return status;
         }
         log->last_record_offset_ = offset;
-        offset += record_header_bytes + payload->size();
+        in.skip(record_header_bytes + (*payload)->size());
         ++log->next_sequence_;
     }
     const std::uint64_t records = log->next_sequence_ - 1;
@@ -196,8 +278,7 @@
             log->path_, ": ", records, " records are intact of ", log->sealed_,
             " that were synced"));
     }
-    log->size_ = offset;
-    log->has_torn_tail_ = content->size() > offset;
+    log->size_ = in.offset();
     log->is_durable_ = false;
     return log;
 }
@@ -242,16 +323,9 @@
     // write them. New pages are certain to be written.
     if (std::exchange(may_copy_, false))
     {
-        auto content = files_.read(path_);
-        if (!content.ok())
-        {
-            return guarded(content.status());
-        }
-        content->resize(size_);
-        content->replace(
-            0, file_header_bytes,
-            make_file_header(file_id_, next_sequence_ - 1));
-        const auto status = replace_file(*content);
+        const auto status = replace_file([this](file& out) {
+            return copy_records(out);
+        });
         if (status.ok())
         {
             sealed_ = next_sequence_ - 1;
@@ -266,6 +340,28 @@
     return guarded(refresh_last_record());
 }
 
+absl::Status write_ahead_log::copy_records(file& out)
+{
+    auto status = out.append(make_file_header(file_id_, next_sequence_ - 1));
+    for (std::uint64_t at = file_header_bytes; status.ok() && at < size_;)
+    {
+        const auto part = files_.read_part(
+            path_, at, std::min<std::uint64_t>(part_bytes, size_ - at));
+        if (!part.ok())
+        {
+            return part.status();
+        }
+        if (part->empty())
+        {
+            return absl::DataLossError(
+                core::concat(path_, ": the file became shorter"));
+        }
+        status = out.append(*part);
+        at += part->size();
+    }
+    return status;
+}
+
 absl::Status write_ahead_log::refresh_last_record()
 {
     // Left over from an earlier process or from replace_file().
@@ -278,18 +374,16 @@
     {
         return status;
     }
-    const auto content = files_.read(path_);
-    if (!content.ok())
-    {
-        return content.status();
-    }
     // All records before the last one were synced before it was written. With
     // no unsealed record, this syncs the cut of the tail.
     const std::uint64_t from =
         next_sequence_ - 1 > sealed_ ? last_record_offset_ : size_ - 1;
-    if (auto status = files_.overwrite(
-            path_, from, std::string_view(*content).substr(from));
-        !status.ok())
+    const auto bytes = files_.read_part(path_, from, size_ - from);
+    if (!bytes.ok())
+    {
+        return bytes.status();
+    }
+    if (auto status = files_.overwrite(path_, from, *bytes); !status.ok())
     {
         return status;
     }
@@ -393,7 +487,10 @@
         last_offset = content.size();
         content += make_record(it, sequence++, file_id);
     }
-    if (auto status = guarded(replace_file(content)); !status.ok())
+    if (auto status = guarded(replace_file([&](file& out) {
+            return out.append(content);
+        }));
+        !status.ok())
     {
         return status;
     }
@@ -407,10 +504,10 @@
     return absl::OkStatus();
 }
 
-absl::Status write_ahead_log::replace_file(const std::string& content)
+absl::Status write_ahead_log::replace_file(const content_writer& write)
 {
     const std::string temporary = path_ + ".tmp";
-    auto status = write_temporary(temporary, content);
+    auto status = write_temporary(temporary, write);
     if (status.ok())
     {
         status = files_.rename(temporary, path_);
@@ -435,7 +532,7 @@
 }
 
 absl::Status write_ahead_log::write_temporary(
-    const std::string& temporary, const std::string& content)
+    const std::string& temporary, const content_writer& write)
 {
     // A file left over from a crash must not become part of the new one.
     if (auto status = files_.remove(temporary);
@@ -448,7 +545,7 @@
     {
         return opened.status();
     }
-    if (auto status = (*opened)->append(content); !status.ok())
+    if (auto status = write(**opened); !status.ok())
     {
         return status;
     }
--- a/Libraries/LibStorage/write_ahead_log.hpp
+++ b/Libraries/LibStorage/write_ahead_log.hpp
@@ -43,7 +43,8 @@
         file_system& files, const std::string& directory,
         const std::string& name, std::uint64_t file_id);
 
-    /// Reads an existing log without writing to the disk. Nothing that was
+    /// Reads an existing log without writing to the disk, one record at a
+    /// time. Nothing that was
     /// read may be acknowledged before make_durable() returned OK, because the
     /// last record may not have been synced. NOT_FOUND without the file;
     /// DATA_LOSS if the header or a record before the tail is bad; errors of
@@ -91,10 +92,13 @@
     /// Overwrites the last record with the same bytes, so that the kernel
     /// writes its pages again.
     absl::Status refresh_last_record();
-    /// Writes the content to a new file that takes the name of the log.
-    absl::Status replace_file(const std::string& content);
+    using content_writer = std::function<absl::Status(file&)>;
+    /// Copies the file up to size_, with a header that seals all records.
+    absl::Status copy_records(file& out);
+    /// Writes a new file that takes the name of the log.
+    absl::Status replace_file(const content_writer& write);
     absl::Status
-    write_temporary(const std::string& temporary, const std::string& content);
+    write_temporary(const std::string& temporary, const content_writer& write);
 
     file_system& files_;
     std::string directory_;
--- a/Tests/LibStorage/file_system.cpp
+++ b/Tests/LibStorage/file_system.cpp
@@ -51,6 +51,10 @@
     REQUIRE_GE(size, 2);
     CHECK(files.overwrite(b, size - 2, "zz").ok());
     CHECK_EQ(files.read(b)->size(), size);
+    CHECK_EQ(*files.read_part(b, size - 2, 1), "z");
+    CHECK_EQ(*files.read_part(b, size - 2, 9), "zz");
+    CHECK_EQ(*files.read_part(b, size + 9, 1), "");
+    CHECK(absl::IsNotFound(files.read_part(a, 0, 1).status()));
     CHECK(files.read(b)->ends_with("zz"));
     CHECK(files.remove(b).ok());
     CHECK(files.list(directory)->empty());
--- a/Tests/LibStorage/write_ahead_log.cpp
+++ b/Tests/LibStorage/write_ahead_log.cpp
@@ -375,3 +375,34 @@
         }
     }
 }
+
+// Guards against memory at a start that grows with the history: the whole log
+// beside what it decodes to.
+TEST_CASE("a log is opened in parts")
+{
+    for (const bool has_space : {true, false})
+    {
+        CAPTURE(has_space);
+        tests::fake_file_system files(1);
+        const std::string record(100000, 'r');
+        constexpr std::size_t count = 40;
+        fill(files, records(count, record));
+        files.largest_read = files.largest_write = 0;
+        if (!has_space)
+        {
+            files.capacity = files.content(path).size() + record.size();
+        }
+        std::size_t visited = 0;
+        auto log =
+            write_ahead_log::load(files, "d", "log", [&](std::string_view it) {
+                visited += it == record ? 1 : 0;
+                return absl::OkStatus();
+            });
+        REQUIRE(log.ok());
+        REQUIRE((*log)->make_durable().ok());
+        CHECK_EQ(visited, count);
+        // A tenth of the log.
+        CHECK_LE(files.largest_read, 4 * record.size());
+        CHECK_LE(files.largest_write, 4 * record.size());
+    }
+}
--- a/Tests/Support/fake_file_system.cpp
+++ b/Tests/Support/fake_file_system.cpp
@@ -86,6 +86,7 @@
     {
         return stopped();
     }
+    largest_write = std::max(largest_write, bytes.size());
     std::size_t used = 0;
     for (const auto& [path, other] : current_)
     {
@@ -175,9 +176,27 @@
     {
         return absl::NotFoundError(path);
     }
+    largest_read = std::max(largest_read, it->second->bytes.size());
     return it->second->bytes;
 }
 
+absl::StatusOr<std::string> fake_file_system::read_part(
+    const std::string& path, std::uint64_t offset, std::size_t size)
+{
+    const auto it = current_.find(path);
+    if (stopped_)
+    {
+        return stopped();
+    }
+    if (it == current_.end())
+    {
+        return absl::NotFoundError(path);
+    }
+    const std::string& bytes = it->second->bytes;
+    largest_read = std::max(largest_read, size);
+    return offset < bytes.size() ? bytes.substr(offset, size) : std::string();
+}
+
 absl::Status
 fake_file_system::rename(const std::string& from, const std::string& to)
 {
--- a/Tests/Support/fake_file_system.hpp
+++ b/Tests/Support/fake_file_system.hpp
@@ -37,6 +37,8 @@
     std::uint64_t fail_sync_at = 0; ///< Counted in syncs of files from 1.
     std::uint64_t syncs = 0;
     std::size_t capacity = SIZE_MAX; ///< Bytes in all files together.
+    std::size_t largest_read = 0;    ///< Bytes of one read of any kind.
+    std::size_t largest_write = 0;   ///< Bytes of one append.
     std::uint64_t full_at = 0;       ///< Operation that finds the disk full.
     bool is_full = false;            ///< Set at `full_at`; reset by the test.
     full_disk_refuses refuses = full_disk_refuses::writes;
@@ -60,6 +62,9 @@
     absl::StatusOr<std::unique_ptr<storage::file>>
     open(const std::string& path) override;
     absl::StatusOr<std::string> read(const std::string& path) override;
+    absl::StatusOr<std::string> read_part(
+        const std::string& path, std::uint64_t offset,
+        std::size_t size) override;
     absl::Status
     rename(const std::string& from, const std::string& to) override;
     absl::Status truncate(const std::string& path, std::uint64_t size) override;
