Tests/LibConsensus: Bound what waits for a full disk

Cause: two rules for a replica without space had no test of their own.

Change: one case sends 1,000 heartbeats to a replica whose disk is full, one lets a candidate's disk fill.

--- a/Tests/LibConsensus/single_node.cpp
+++ b/Tests/LibConsensus/single_node.cpp
@@ -272,3 +272,46 @@
         CHECK_EQ(it.node->commit_index(), 0);
     }
 }
+
+// Guards against memory that grows with the time for which a disk stays full.
+TEST_CASE("messages that wait for a full disk are bounded")
+{
+    manual_replica it({entry(1, 1)});
+    append_request heartbeat;
+    heartbeat.term = 2;
+    heartbeat.previous = {1, 1};
+    it.receive(2, heartbeat);
+    REQUIRE(it.batch.has_value());
+    it.node->set_storage_full(true, it.now);
+    for (std::uint64_t round = 1; round <= 1000; ++round)
+    {
+        heartbeat.read_round = round;
+        it.receive(2, heartbeat);
+    }
+    CHECK(it.sent.empty());
+    it.node->set_storage_full(false, it.now);
+    it.complete_batch();
+    CHECK_LE(it.sent.size(), node_options{}.max_deferred_messages + 1);
+    // The newest answer is among them.
+    CHECK(it.last<append_response>().accepted);
+    CHECK_EQ(it.sent.back().to, 2);
+}
+
+// Guards against a candidate that disturbs a later leader with requests for
+// votes which a full disk held back.
+TEST_CASE("a candidate on a full disk drops its requests for votes")
+{
+    manual_replica it({entry(1, 1)});
+    it.now = it.node->next_deadline();
+    it.node->tick(it.now);
+    it.take_output();
+    it.receive(2, vote_response{2, true, true});
+    REQUIRE(it.node->role() == replica_role::candidate);
+    it.sent.clear();
+    it.node->set_storage_full(true, it.now);
+    CHECK(it.node->role() == replica_role::follower);
+    it.node->set_storage_full(false, it.now);
+    it.complete_batch();
+    CHECK(it.sent.empty());
+    CHECK(it.node->role() == replica_role::follower);
+}
