--- a/Libraries/LibStorage/write_ahead_log.hpp
+++ b/Libraries/LibStorage/write_ahead_log.hpp
@@ -43,12 +43,11 @@
         file_system& files, const std::string& directory,
         const std::string& name, std::uint64_t file_id);
 
-    /// Reads an existing log without writing to the disk, one record at a
-    /// time. Nothing that was
-    /// read may be acknowledged before make_durable() returned OK, because the
-    /// last record may not have been synced. NOT_FOUND without the file;
-    /// DATA_LOSS if the header or a record before the tail is bad; errors of
-    /// the visitor.
+    /// Reads an existing log, one record at a time, without writing to the
+    /// disk. Nothing that was read may be acknowledged before make_durable()
+    /// returned OK, because the last record may not have been synced. NOT_FOUND
+    /// without the file; DATA_LOSS if the header or a record before the tail is
+    /// bad; errors of the visitor.
     static absl::StatusOr<std::unique_ptr<write_ahead_log>> load(
         file_system& files, const std::string& directory,
         const std::string& name, const record_visitor& visit);
