--- a/Libraries/LibControl/fleet_control_sync.cpp
+++ b/Libraries/LibControl/fleet_control_sync.cpp
@@ -1,6 +1,7 @@
 // State exchange between VMs and control VMs.
 
 #include <LibControl/fleet_control.hpp>
+#include <LibControl/manifest_delivery.hpp>
 
 #include <LibCore/log_line.hpp>
 #include <LibCore/text.hpp>
@@ -239,7 +240,9 @@
             upstreams_.announcements_within(announcement_forward_window, now);
     }
     out.manifest_version = manifest_version_;
-    if (manifest_version_ > it.manifest_version && !it.self.control)
+    if (is_manifest_due(
+            manifest_version_, now - manifest_installed_at_,
+            it.manifest_version, it.self.control))
     {
         out.manifest = packed_manifest_;
     }
--- a/Libraries/LibStorage/posix_file_system.cpp
+++ b/Libraries/LibStorage/posix_file_system.cpp
@@ -135,6 +135,39 @@
     }
 }
 
+absl::StatusOr<std::string> posix_file_system::read_part(
+    const std::string& path, std::uint64_t offset, std::size_t size)
+{
+    const descriptor fd(::open(path.c_str(), O_RDONLY | O_CLOEXEC));
+    if (fd.get() < 0)
+    {
+        return error_status("open", path, errno);
+    }
+    std::string content(size, '\0');
+    std::size_t used = 0;
+    while (used < size)
+    {
+        const ssize_t n = ::pread(
+            fd.get(), content.data() + used, size - used,
+            static_cast<off_t>(offset + used));
+        if (n < 0 && errno == EINTR)
+        {
+            continue;
+        }
+        if (n < 0)
+        {
+            return error_status("pread", path, errno);
+        }
+        if (n == 0)
+        {
+            break;
+        }
+        used += static_cast<std::size_t>(n);
+    }
+    content.resize(used);
+    return content;
+}
+
 absl::Status
 posix_file_system::rename(const std::string& from, const std::string& to)
 {
@@ -151,6 +184,35 @@
                : error_status("truncate", path, errno);
 }
 
+absl::Status posix_file_system::overwrite(
+    const std::string& path, std::uint64_t offset, std::string_view bytes)
+{
+    // Without O_APPEND, with which pwrite() ignores the offset.
+    const descriptor fd(::open(path.c_str(), O_WRONLY | O_CLOEXEC));
+    if (fd.get() < 0)
+    {
+        return error_status("open", path, errno);
+    }
+    while (!bytes.empty())
+    {
+        const ssize_t n = ::pwrite(
+            fd.get(), bytes.data(), bytes.size(), static_cast<off_t>(offset));
+        if (n < 0 && errno == EINTR)
+        {
+            continue;
+        }
+        if (n < 0)
+        {
+            return error_status("pwrite", path, errno);
+        }
+        bytes.remove_prefix(static_cast<std::size_t>(n));
+        offset += static_cast<std::uint64_t>(n);
+    }
+    return ::fdatasync(fd.get()) == 0
+               ? absl::OkStatus()
+               : unrecoverable(error_status("fdatasync", path, errno));
+}
+
 absl::Status posix_file_system::remove(const std::string& path)
 {
     return ::unlink(path.c_str()) == 0 ? absl::OkStatus()
--- a/Tests/Support/fake_file_system.cpp
+++ b/Tests/Support/fake_file_system.cpp
@@ -75,6 +75,7 @@
         return false;
     }
     stopped_ = stops_within = ++operations == crash_at;
+    is_full = is_full || operations == full_at;
     return true;
 }
 
@@ -85,13 +86,19 @@
     {
         return stopped();
     }
+    largest_write = std::max(largest_write, bytes.size());
     std::size_t used = 0;
     for (const auto& [path, other] : current_)
     {
         used += other->bytes.size();
     }
-    const std::size_t room = capacity - std::min(capacity, used);
-    const bool is_full = bytes.size() > room;
+    std::size_t room = capacity - std::min(capacity, used);
+    if (is_full)
+    {
+        // Any part but the whole may have found space.
+        room = bytes.empty() ? 0 : random_.below(bytes.size());
+    }
+    const bool refused = bytes.size() > room;
     bytes = bytes.substr(0, room);
     if (stops)
     {
@@ -102,7 +109,7 @@
     {
         return stopped();
     }
-    return is_full ? absl::ResourceExhaustedError("the disk is full")
+    return refused ? absl::ResourceExhaustedError("the disk is full")
                    : absl::OkStatus();
 }
 
@@ -126,13 +133,18 @@
     return absl::OkStatus();
 }
 
-absl::Status fake_file_system::change_names(names next)
+absl::Status fake_file_system::change_names(names next, bool needs_space)
 {
     bool stops = false;
     if (!begin(stops))
     {
         return stopped();
     }
+    if (needs_space && is_refused(full_disk_refuses::names))
+    {
+        return stops ? stopped()
+                     : absl::ResourceExhaustedError("the disk is full");
+    }
     current_ = std::move(next);
     states_.push_back(current_);
     return stops ? stopped() : absl::OkStatus();
@@ -145,7 +157,7 @@
     {
         names next = current_;
         next[path] = std::make_shared<inode>();
-        if (auto status = change_names(std::move(next)); !status.ok())
+        if (auto status = change_names(std::move(next), true); !status.ok())
         {
             return status;
         }
@@ -164,9 +176,27 @@
     {
         return absl::NotFoundError(path);
     }
+    largest_read = std::max(largest_read, it->second->bytes.size());
     return it->second->bytes;
 }
 
+absl::StatusOr<std::string> fake_file_system::read_part(
+    const std::string& path, std::uint64_t offset, std::size_t size)
+{
+    const auto it = current_.find(path);
+    if (stopped_)
+    {
+        return stopped();
+    }
+    if (it == current_.end())
+    {
+        return absl::NotFoundError(path);
+    }
+    const std::string& bytes = it->second->bytes;
+    largest_read = std::max(largest_read, size);
+    return offset < bytes.size() ? bytes.substr(offset, size) : std::string();
+}
+
 absl::Status
 fake_file_system::rename(const std::string& from, const std::string& to)
 {
@@ -178,7 +208,7 @@
     }
     next[to] = it->second;
     next.erase(from);
-    return change_names(std::move(next));
+    return change_names(std::move(next), true);
 }
 
 absl::Status
@@ -189,10 +219,45 @@
     {
         return stopped();
     }
+    if (is_refused(full_disk_refuses::truncation))
+    {
+        return stops ? stopped()
+                     : absl::ResourceExhaustedError("the disk is full");
+    }
     current_.at(path)->bytes.resize(size);
     return stops ? stopped() : absl::OkStatus();
 }
 
+absl::Status fake_file_system::overwrite(
+    const std::string& path, std::uint64_t offset, std::string_view bytes)
+{
+    bool stops = false;
+    if (!begin(stops))
+    {
+        return stopped();
+    }
+    if (is_full)
+    {
+        return stops ? stopped()
+                     : absl::ResourceExhaustedError("the disk is full");
+    }
+    inode& it = *current_.at(path);
+    it.bytes.replace(offset, bytes.size(), bytes);
+    if (stops)
+    {
+        return stopped();
+    }
+    // Only these bytes are written; those that a failed sync dropped before
+    // them stay lost.
+    std::string& durable = it.durable;
+    durable.resize(std::max<std::size_t>(offset, durable.size()), '\0');
+    durable.replace(
+        offset, std::min(bytes.size(), durable.size() - offset), bytes);
+    durable.resize(it.bytes.size(), '\0');
+    it.drops_writes = it.drops_writes && durable != it.bytes;
+    return absl::OkStatus();
+}
+
 absl::Status fake_file_system::remove(const std::string& path)
 {
     names next = current_;
@@ -200,7 +265,7 @@
     {
         return absl::NotFoundError(path);
     }
-    return change_names(std::move(next));
+    return change_names(std::move(next), false);
 }
 
 absl::StatusOr<std::vector<std::string>>
