LibHttp: Account for the memory and connections of clients

Cause: Messages were bounded one by one and connections by server, so that a crowd of clients took a process over its memory and out of descriptors. Change: One account of memory in a process on the users' platform, used by all of its servers and derived from memory-mb and max-fds. Heads are charged by their fields, bodies before they are read. The unfinished request that has held its memory for longest gives way; then the new one is refused with 503, Retry-After and "not run". At the limit of connections the one that is idle, unfinished or not reading for longest is closed. Running requests are never cut for room. `Expect: 100-continue` is answered after the reservation. At most 32 KiB are read ahead. Large buffers return to the system when they are freed.

Bodies are still copied for each attempt and charged twice; answers of the control VM's own pages are not charged.

--- a/Libraries/LibHttp/exchange.cpp
+++ b/Libraries/LibHttp/exchange.cpp
@@ -55,6 +55,7 @@
     keep_alive_ = keep_alive();
     answer.keep_alive(keep_alive_);
     stream_.expires_after(write_timeout);
+    set_phase(core::connection_phase::writing);
     error_code ec;
     if (is_head_request())
     {
@@ -65,11 +66,13 @@
         bhttp::response_serializer<bhttp::string_body> serializer(answer);
         co_await bhttp::async_write_header(
             stream_, serializer, asio::redirect_error(asio::use_awaitable, ec));
+        set_phase(core::connection_phase::running);
         co_return to_status(ec);
     }
     answer.prepare_payload();
     co_await bhttp::async_write(
         stream_, answer, asio::redirect_error(asio::use_awaitable, ec));
+    set_phase(core::connection_phase::running);
     co_return to_status(ec);
 }
 
@@ -82,10 +85,12 @@
     head.keep_alive(keep_alive_);
     head.chunked(true);
     stream_.expires_after(write_timeout);
+    set_phase(core::connection_phase::writing);
     bhttp::response_serializer<bhttp::empty_body> serializer(head);
     error_code ec;
     co_await bhttp::async_write_header(
         stream_, serializer, asio::redirect_error(asio::use_awaitable, ec));
+    set_phase(core::connection_phase::running);
     co_return to_status(ec);
 }
 
@@ -96,10 +101,12 @@
         co_return absl::OkStatus();
     }
     stream_.expires_after(write_timeout);
+    set_phase(core::connection_phase::writing);
     error_code ec;
     co_await asio::async_write(
         stream_, bhttp::make_chunk(asio::buffer(bytes.data(), bytes.size())),
         asio::redirect_error(asio::use_awaitable, ec));
+    set_phase(core::connection_phase::running);
     co_return to_status(ec);
 }
 
@@ -110,13 +117,23 @@
         co_return absl::OkStatus();
     }
     stream_.expires_after(write_timeout);
+    set_phase(core::connection_phase::writing);
     error_code ec;
     co_await asio::async_write(
         stream_, bhttp::make_chunk_last(),
         asio::redirect_error(asio::use_awaitable, ec));
+    set_phase(core::connection_phase::running);
     co_return to_status(ec);
 }
 
+void exchange::set_phase(core::connection_phase it)
+{
+    if (account_entry_)
+    {
+        account_entry_->set_phase(it, std::chrono::steady_clock::now());
+    }
+}
+
 void exchange::on_caller_gone(std::function<void()> handler)
 {
     gone_handler_ = std::move(handler);
--- a/Libraries/LibHttp/exchange.hpp
+++ b/Libraries/LibHttp/exchange.hpp
@@ -3,6 +3,7 @@
 
 // One request of a caller and the means to answer it, whole or as a stream.
 
+#include <LibCore/memory_account.hpp>
 #include <LibHttp/connection_pool.hpp>
 #include <LibHttp/types.hpp>
 
@@ -93,6 +94,13 @@
         return keep_alive_;
     }
 
+    /// Told while bytes of an answer wait for the caller; outlives the
+    /// exchange. May be null.
+    void set_account_entry(core::account_entry* it)
+    {
+        account_entry_ = it;
+    }
+
     /// While this is set, answers say that the connection closes. The flag
     /// outlives the exchange.
     void close_while(const std::atomic<bool>& draining)
@@ -123,12 +131,15 @@
     bool caller_waits() const;
 
 private:
+    void set_phase(core::connection_phase it);
+
     beast::tcp_stream& stream_;
     connection_pool& pool_;
     request message_;
     asio::ip::address remote_;
     std::function<void()> gone_handler_;
     const std::atomic<bool>* draining_ = nullptr;
+    core::account_entry* account_entry_ = nullptr;
     bool keep_alive_;
     bool started_ = false; // Bytes of an answer were sent.
     bool gone_ = false;
--- a/Libraries/LibHttp/http_server.cpp
+++ b/Libraries/LibHttp/http_server.cpp
@@ -24,6 +24,8 @@
     std::shared_ptr<request_handler> handler)
 {
     CHECK(!threads.empty());
+    // An account belongs to one thread.
+    CHECK(!settings.account || threads.size() == 1);
     const auto endpoint = parse_endpoint(settings.address);
     if (!endpoint.ok())
     {
@@ -55,8 +57,9 @@
     const options& settings,
     std::vector<std::shared_ptr<traffic_thread>> threads,
     std::shared_ptr<request_handler> handler)
-    : max_connections_(settings.max_connections), threads_(std::move(threads)),
-      handler_(std::move(handler)), load_(std::make_shared<server_load>()),
+    : max_connections_(settings.max_connections), account_(settings.account),
+      threads_(std::move(threads)), handler_(std::move(handler)),
+      load_(std::make_shared<server_load>()),
       acceptor_(threads_.front()->context()),
       pause_(threads_.front()->context())
 {}
@@ -121,10 +124,13 @@
         });
         return;
     }
-    if (load_->connections < max_connections_)
+    const bool has_room = load_->connections < max_connections_ &&
+                          (!account_ || account_->make_room_for_connection(
+                                            std::chrono::steady_clock::now()));
+    if (has_room)
     {
         std::make_shared<server_session>(
-            std::move(socket), thread.pool(), handler_, load_)
+            std::move(socket), thread.pool(), handler_, load_, account_)
             ->start();
     }
     accept_next();
--- a/Libraries/LibHttp/http_server.hpp
+++ b/Libraries/LibHttp/http_server.hpp
@@ -24,6 +24,9 @@
     {
         std::string address; ///< "IP:port"; port 0 is refused.
         std::size_t max_connections = 4096;
+        /// Shared by the servers of one traffic thread. Null: no bound on
+        /// what clients take together.
+        std::shared_ptr<core::memory_account> account = nullptr;
     };
 
     /// Listens; connections are handled on `threads`, which outlive it.
@@ -64,6 +67,7 @@
     accepted(traffic_thread& thread, const error_code& ec, tcp::socket socket);
 
     const std::size_t max_connections_;
+    const std::shared_ptr<core::memory_account> account_;  // May be null.
     std::vector<std::shared_ptr<traffic_thread>> threads_; // Never empty.
     std::shared_ptr<request_handler> handler_;
     std::shared_ptr<server_load> load_;
--- a/Libraries/LibHttp/server_session.cpp
+++ b/Libraries/LibHttp/server_session.cpp
@@ -2,10 +2,15 @@
 
 #include <LibHttp/server_session.hpp>
 
+#include <LibCore/log_line.hpp>
+
+#include <boost/asio/buffer.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
@@ -18,8 +23,46 @@
 
 namespace {
 
+/// What a parsed field costs beside its bytes, with the copy of it that is
+/// sent on.
+constexpr std::size_t field_cost = 192;
+/// A body is held twice while it is sent on.
+constexpr std::size_t copies_of_body = 2;
+/// Of chunks, whose sum isn't known: more than this reserves the largest body.
+constexpr std::size_t small_chunked_body = 16 * 1024;
+/// Held by an idle connection at most.
+constexpr std::size_t idle_buffer_bytes = 4 * 1024;
+/// Between two tries to reserve memory, and their number: 5 s.
+constexpr std::chrono::milliseconds reserve_interval{50};
+constexpr int max_reserve_tries = 100;
+
+std::size_t head_cost(const request& it)
+{
+    std::size_t out = 0;
+    for (const auto& field : it)
+    {
+        out += field_cost +
+               2 * (field.name_string().size() + field.value().size());
+    }
+    return out;
+}
+
+core::time_point now()
+{
+    return std::chrono::steady_clock::now();
+}
+
+bool is_without_room(const error_code& ec)
+{
+    return ec == asio::error::no_buffer_space;
+}
+
 bhttp::status status_of(const error_code& ec)
 {
+    if (is_without_room(ec))
+    {
+        return bhttp::status::service_unavailable;
+    }
     if (ec == bhttp::error::header_limit || ec == bhttp::error::buffer_overflow)
     {
         return bhttp::status::request_header_fields_too_large;
@@ -35,9 +78,9 @@
 
 server_session::server_session(
     tcp::socket socket, connection_pool& pool,
-    std::shared_ptr<request_handler> handler, std::shared_ptr<server_load> load)
-    : stream_(std::move(socket)),
-      buffer_(max_header_bytes + max_request_body_bytes), pool_(pool),
+    std::shared_ptr<request_handler> handler, std::shared_ptr<server_load> load,
+    std::shared_ptr<core::memory_account> account)
+    : stream_(std::move(socket)), buffer_(max_read_ahead_bytes), pool_(pool),
       handler_(std::move(handler)), load_(std::move(load))
 {
     error_code ec;
@@ -45,6 +88,15 @@
     remote_ = ec ? asio::ip::address() : endpoint.address();
     stream_.socket().set_option(tcp::no_delay(true), ec);
     ++load_->connections;
+    if (account)
+    {
+        entry_.emplace(
+            std::move(account),
+            [this] {
+                give_way();
+            },
+            now());
+    }
 }
 
 server_session::~server_session()
@@ -75,6 +127,7 @@
         {
             more = co_await handle_one(std::move(message)) &&
                    stream_.socket().is_open();
+            release();
         }
     }
     error_code ec;
@@ -84,33 +137,161 @@
 
 asio::awaitable<bool> server_session::read_request(request& out)
 {
-    bhttp::request_parser<bhttp::string_body> parser;
-    parser.header_limit(max_header_bytes);
-    parser.body_limit(max_request_body_bytes);
     error_code ec;
+    {
+        parser_type parser;
+        parser.header_limit(max_header_bytes);
+        parser.body_limit(max_request_body_bytes);
+        co_await read_head(parser, ec);
+        if (!ec && !parser.is_done())
+        {
+            co_await read_body(parser, ec);
+        }
+        if (!ec)
+        {
+            out = parser.release();
+        }
+    }
+    // The parser's memory is free before its reservation ends.
+    if (ec)
+    {
+        co_await reject(ec);
+        co_return false;
+    }
+    if (entry_ &&
+        !reserve_at_once(head_cost(out) + copies_of_body * out.body().size()))
+    {
+        out = {};
+        co_await reject(asio::error::no_buffer_space);
+        co_return false;
+    }
+    set_phase(core::connection_phase::running);
+    co_return true;
+}
+
+asio::awaitable<void>
+server_session::read_head(parser_type& parser, error_code& ec)
+{
     stream_.expires_after(keep_alive_timeout);
     // Waiting for the first byte and reading the request have time limits of
     // their own.
     if (buffer_.size() == 0)
     {
+        if (buffer_.capacity() > idle_buffer_bytes)
+        {
+            buffer_.shrink_to_fit();
+        }
+        set_phase(core::connection_phase::idle);
         co_await bhttp::async_read_some(
             stream_, buffer_, parser,
             asio::redirect_error(asio::use_awaitable, ec));
     }
-    if (!ec && !parser.is_done())
+    set_phase(core::connection_phase::reading);
+    if (!ec && !parser.is_header_done())
     {
+        if (!reserve_at_once(max_read_ahead_bytes))
+        {
+            ec = asio::error::no_buffer_space;
+            co_return;
+        }
         stream_.expires_after(request_read_timeout);
-        co_await bhttp::async_read(
+        co_await bhttp::async_read_header(
             stream_, buffer_, parser,
             asio::redirect_error(asio::use_awaitable, ec));
     }
-    if (ec)
+}
+
+asio::awaitable<void>
+server_session::read_body(parser_type& parser, error_code& ec)
+{
+    const auto head = head_cost(parser.get()) + max_read_ahead_bytes;
+    const auto length = parser.content_length();
+    const auto announced = length ? *length : small_chunked_body;
+    if (!reserve_at_once(head) ||
+        !co_await reserve(head + copies_of_body * announced))
     {
-        co_await reject(ec);
-        co_return false;
+        ec = asio::error::no_buffer_space;
+        co_return;
     }
-    out = parser.release();
-    co_return true;
+    stream_.expires_after(request_read_timeout);
+    const auto done = [&ec] {
+        return asio::redirect_error(asio::use_awaitable, ec);
+    };
+    const bool waits_for_consent =
+        header_value(parser.get(), "Expect") == "100-continue" &&
+        parser.get().version() == 11;
+    if (waits_for_consent)
+    {
+        constexpr std::string_view consent = "HTTP/1.1 100 Continue\r\n\r\n";
+        co_await asio::async_write(stream_, asio::buffer(consent), done());
+    }
+    bool is_large = false;
+    while (!ec && !length && !parser.is_done())
+    {
+        co_await bhttp::async_read_some(stream_, buffer_, parser, done());
+        if (!is_large && parser.get().body().size() > small_chunked_body)
+        {
+            is_large = true;
+            if (!ec && !co_await reserve(
+                           head + copies_of_body * max_request_body_bytes))
+            {
+                ec = asio::error::no_buffer_space;
+            }
+            stream_.expires_after(request_read_timeout);
+        }
+    }
+    if (!ec && !parser.is_done())
+    {
+        co_await bhttp::async_read(stream_, buffer_, parser, done());
+    }
+}
+
+asio::awaitable<bool> server_session::reserve(std::size_t bytes)
+{
+    if (!entry_)
+    {
+        co_return true;
+    }
+    auto result = entry_->reserve(bytes, true, now());
+    asio::steady_timer timer(stream_.get_executor());
+    for (int n = 0;
+         n < max_reserve_tries && result == core::reservation_result::wait; ++n)
+    {
+        timer.expires_after(reserve_interval);
+        co_await timer.async_wait(asio::use_awaitable);
+        result = entry_->reserve(bytes, true, now());
+    }
+    co_return result == core::reservation_result::granted;
+}
+
+bool server_session::reserve_at_once(std::size_t bytes)
+{
+    return !entry_ || entry_->reserve(bytes, false, now()) ==
+                          core::reservation_result::granted;
+}
+
+void server_session::set_phase(core::connection_phase it)
+{
+    if (entry_)
+    {
+        entry_->set_phase(it, now());
+    }
+}
+
+void server_session::release()
+{
+    if (entry_)
+    {
+        (void)entry_->reserve(0, false, now());
+    }
+}
+
+void server_session::give_way()
+{
+    LOG_EVERY_T(INFO, 1) << core::log_line("connection_closed_for_room")
+                                .with("client", remote_.to_string())
+                                .with("buffered", buffer_.size());
+    stream_.close();
 }
 
 asio::awaitable<void> server_session::reject(const error_code& ec)
@@ -119,7 +300,7 @@
                         ec == beast::error::timeout ||
                         ec.category() == boost::system::system_category() ||
                         ec == asio::error::eof;
-    if (silent)
+    if (silent && !is_without_room(ec))
     {
         co_return;
     }
@@ -128,8 +309,22 @@
     answer.body() = R"({"error":{"message":"the request is malformed or )"
                     R"(exceeds a size limit","type":"invalid_request_error",)"
                     R"("reason":"malformed_request","not_run":true}})";
+    if (is_without_room(ec))
+    {
+        LOG_EVERY_T(INFO, 1) << core::log_line("request_refused_for_room")
+                                    .with("client", remote_.to_string());
+        answer.set(bhttp::field::retry_after, "1");
+        answer.set("x-hyssoploft-reason", "no_memory");
+        answer.set("x-hyssoploft-not-run", "true");
+        answer.body() = R"({"error":{"message":"no memory for the request",)"
+                        R"("type":"overloaded_error","reason":"no_memory",)"
+                        R"("retry_after":1,"not_run":true}})";
+    }
     answer.keep_alive(false);
     answer.prepare_payload();
+    // What was read is dropped: the connection ends.
+    release();
+    set_phase(core::connection_phase::writing);
     stream_.expires_after(write_timeout);
     error_code ignored;
     co_await bhttp::async_write(
@@ -152,6 +347,7 @@
     ++load_->requests;
     const auto it =
         std::make_shared<exchange>(stream_, pool_, std::move(message), remote_);
+    it->set_account_entry(entry_ ? &*entry_ : nullptr);
     it->close_while(load_->draining);
     stream_.expires_never();
     watch_caller(it);
--- a/Libraries/LibHttp/server_session.hpp
+++ b/Libraries/LibHttp/server_session.hpp
@@ -4,10 +4,14 @@
 // One connection of a caller: reads requests one after the other and hands
 // them to the handler. It keeps itself alive until the connection ends.
 
+#include <LibCore/memory_account.hpp>
 #include <LibHttp/request_handler.hpp>
 
+#include <boost/beast/http/parser.hpp>
+
 #include <atomic>
 #include <memory>
+#include <optional>
 
 namespace hyssoploft::http {
 
@@ -22,18 +26,32 @@
 class server_session : public std::enable_shared_from_this<server_session>
 {
 public:
+    /// Without an account only single messages are bounded.
     server_session(
         tcp::socket socket, connection_pool& pool,
         std::shared_ptr<request_handler> handler,
-        std::shared_ptr<server_load> load);
+        std::shared_ptr<server_load> load,
+        std::shared_ptr<core::memory_account> account = nullptr);
     ~server_session();
 
     /// Starts on the executor of the socket.
     void start();
 
 private:
+    using parser_type = bhttp::request_parser<bhttp::string_body>;
+
     asio::awaitable<void> run();
     asio::awaitable<bool> read_request(request& out);
+    asio::awaitable<void> read_head(parser_type& parser, error_code& ec);
+    /// Reserves memory before it reads; `ec` is no_buffer_space if there is
+    /// none.
+    asio::awaitable<void> read_body(parser_type& parser, error_code& ec);
+    asio::awaitable<bool> reserve(std::size_t bytes);
+    /// For small parts: never waits.
+    bool reserve_at_once(std::size_t bytes);
+    void set_phase(core::connection_phase it);
+    void release();
+    void give_way();
     asio::awaitable<void> reject(const error_code& ec);
     /// False if the connection is to be closed.
     asio::awaitable<bool> handle_one(request message);
@@ -45,6 +63,7 @@
     std::shared_ptr<request_handler> handler_;
     std::shared_ptr<server_load> load_;
     asio::ip::address remote_;
+    std::optional<core::account_entry> entry_; // None without an account.
 };
 
 } // namespace hyssoploft::http
--- a/Libraries/LibHttp/types.hpp
+++ b/Libraries/LibHttp/types.hpp
@@ -32,6 +32,8 @@
 inline constexpr std::uint32_t max_header_bytes = 16 * 1024;
 inline constexpr std::uint64_t max_request_body_bytes = 4 << 20;
 inline constexpr std::uint64_t max_answer_body_bytes = 4 << 20;
+/// Read from a client's connection and not parsed. A head has to fit.
+inline constexpr std::size_t max_read_ahead_bytes = 32 * 1024;
 
 /// Time for a caller to send one whole request, against slow clients.
 inline constexpr std::chrono::seconds request_read_timeout{15};
--- a/Services/hyssoploft/fleet_process.cpp
+++ b/Services/hyssoploft/fleet_process.cpp
@@ -14,8 +14,10 @@
 
 #include <boost/asio/post.hpp>
 #include <glog/logging.h>
+#include <malloc.h>
 #include <sys/stat.h>
 
+#include <algorithm>
 #include <csignal>
 #include <utility>
 
@@ -50,18 +52,35 @@
 constexpr double answer_memory_share = 0.25;
 /// Part of it that the answers of one upstream, or of one VM, may take.
 constexpr double answer_share_of_sender = 0.25;
-/// Descriptors that remain for files, peers and upstreams.
+/// Part of the process's memory that requests may take, with their copies on
+/// the way to upstreams.
+constexpr double request_memory_share = 0.35;
+/// Part of it that large requests leave to small ones.
+constexpr double small_request_share = 0.25;
+/// Connections of clients, so that descriptors remain for files, peers and
+/// upstreams.
 constexpr std::size_t max_callers = 2500;
+/// The platform's own files, which max-fds includes.
+constexpr std::uint32_t reserved_descriptors = 200;
+/// Part of the other descriptors that clients may take.
+constexpr double client_descriptor_share = 0.64;
+/// Larger buffers return to the system when they are freed.
+constexpr int large_buffer_bytes = 256 << 10;
+constexpr int kept_free_bytes = 1 << 20;
 /// Parts of the fleet's own key identifiers.
 constexpr std::uint8_t fleet_key_id = 1;
 
 class metrics_page final : public http::request_handler
 {
 public:
-    explicit metrics_page(const telemetry::metrics& from) : from_(from) {}
+    metrics_page(
+        telemetry::metrics& from, std::shared_ptr<core::memory_account> account)
+        : from_(from), account_(std::move(account))
+    {}
 
     http::asio::awaitable<void> handle(http::exchange& it) override
     {
+        update();
         http::response out(http::bhttp::status::ok, 11);
         out.set(http::bhttp::field::content_type, "text/plain; version=0.0.4");
         out.body() = from_.to_text();
@@ -69,7 +88,30 @@
     }
 
 private:
-    const telemetry::metrics& from_;
+    // Only readers need the figures of the account up to date.
+    void update()
+    {
+        if (!account_)
+        {
+            return;
+        }
+        from_.get_gauge("hyssoploft_request_memory_bytes")
+            .set(static_cast<double>(account_->used()));
+        from_.get_gauge("hyssoploft_client_connections")
+            .set(static_cast<double>(account_->connections()));
+        const auto closed = account_->closed();
+        from_.get_counter("hyssoploft_connections_closed_for_room_total")
+            .add(closed - std::exchange(closed_, closed));
+        const auto refused = account_->refused();
+        from_
+            .get_counter("hyssoploft_refusals_total", {{"reason", "no_memory"}})
+            .add(refused - std::exchange(refused_, refused));
+    }
+
+    telemetry::metrics& from_;
+    const std::shared_ptr<core::memory_account> account_; // May be null.
+    std::uint64_t closed_ = 0; // Counted in from_, as the next one.
+    std::uint64_t refused_ = 0;
 };
 
 std::string address_of(const std::string& ip, std::uint16_t port)
@@ -125,6 +167,7 @@
         fail_margin - stop_margin});
     traffic_ = std::make_shared<http::traffic_thread>();
     set_answer_budget();
+    open_account();
     if (!settings_.control_address.empty())
     {
         auto status = add_server(
@@ -149,7 +192,7 @@
     {
         auto status = add_server(
             address_of(settings_.ip, options.metrics_port),
-            std::make_shared<metrics_page>(metrics_));
+            std::make_shared<metrics_page>(metrics_, account_));
         if (!status.ok())
         {
             return status;
@@ -174,6 +217,28 @@
     });
 }
 
+void fleet_process::open_account()
+{
+    const auto bytes = static_cast<double>(settings_.memory_bytes);
+    if (bytes <= 0 || settings_.max_descriptors <= reserved_descriptors)
+    {
+        return;
+    }
+    // By default the allocator keeps what large buffers have once used.
+    (void)::mallopt(M_MMAP_THRESHOLD, large_buffer_bytes);
+    (void)::mallopt(M_TRIM_THRESHOLD, kept_free_bytes);
+    const auto limit = bytes * request_memory_share;
+    const auto connections =
+        client_descriptor_share *
+        static_cast<double>(settings_.max_descriptors - reserved_descriptors);
+    core::account_limits limits;
+    limits.bytes = static_cast<std::size_t>(limit);
+    limits.small_part = static_cast<std::size_t>(limit * small_request_share);
+    limits.connections =
+        std::min(max_callers, static_cast<std::size_t>(connections));
+    account_ = std::make_shared<core::memory_account>(limits);
+}
+
 absl::Status fleet_process::open_control()
 {
     control::fleet_options out;
@@ -256,7 +321,7 @@
     std::shared_ptr<http::http_server>* out)
 {
     auto server = http::http_server::create(
-        {address, max_callers}, {traffic_}, std::move(handler));
+        {address, max_callers, account_}, {traffic_}, std::move(handler));
     if (!server.ok())
     {
         return server.status();
--- a/Services/hyssoploft/fleet_process.hpp
+++ b/Services/hyssoploft/fleet_process.hpp
@@ -50,6 +50,8 @@
 
     absl::Status open(const fleet_process_options& options);
     void set_answer_budget();
+    /// Leaves account_ null if the settings state no limits.
+    void open_account();
     absl::Status open_control();
     absl::Status open_entry();
     absl::Status add_server(
@@ -81,6 +83,7 @@
     std::shared_ptr<http::traffic_thread> traffic_;
     std::unique_ptr<boost::asio::steady_timer> traffic_timer_;
     core::time_point next_traffic_tick_{};
+    std::shared_ptr<core::memory_account> account_; // Of traffic_; or null.
     std::vector<std::shared_ptr<http::http_server>> servers_;
     std::shared_ptr<http::http_server> entry_server_;
     std::shared_ptr<http::http_server> relay_server_;
--- a/Tests/LibHttp/server_client.cpp
+++ b/Tests/LibHttp/server_client.cpp
@@ -92,9 +92,11 @@
 
 struct fixture
 {
-    fixture() : thread(std::make_shared<http::traffic_thread>())
+    explicit fixture(std::shared_ptr<core::memory_account> account = nullptr)
+        : thread(std::make_shared<http::traffic_thread>())
     {
-        auto created = http::http_server::create({address}, {thread}, handler);
+        auto created = http::http_server::create(
+            {address, 4096, std::move(account)}, {thread}, handler);
         REQUIRE(created.ok());
         server = *created;
         server->start();
@@ -455,3 +457,58 @@
     CHECK(http::parse_endpoint("127.0.0.1:80").ok());
     CHECK(http::parse_endpoint("[::1]:80").ok());
 }
+
+// Guards against a crowd of connections that keeps new clients out.
+TEST_CASE("at the limit of connections an idle one gives way")
+{
+    fixture f(std::make_shared<core::memory_account>(
+        core::account_limits{1 << 20, 1 << 18, 1}));
+    asio::io_context context;
+    tcp::socket idle(context);
+    idle.connect(*http::parse_endpoint(f.address));
+    // The server has accepted it: it answers.
+    asio::write(
+        idle, asio::buffer(std::string("POST / HTTP/1.1\r\n"
+                                       "Content-Length: 0\r\n\r\n")));
+    char c = 0;
+    asio::read(idle, asio::buffer(&c, 1));
+    const auto answer = f.raw("POST / HTTP/1.1\r\nContent-Length: 2\r\n\r\nok");
+    CHECK(answer.starts_with("HTTP/1.1 200"));
+    boost::system::error_code ec;
+    std::string rest;
+    asio::read(idle, asio::dynamic_buffer(rest), ec);
+    CHECK(ec.failed());
+}
+
+// Guards against a request that is read without room, and against a refusal
+// that doesn't say that the request has not run.
+TEST_CASE("a request without room is refused as not run")
+{
+    constexpr auto small = core::memory_account::small_bytes;
+    const auto account = std::make_shared<core::memory_account>(
+        core::account_limits{small, 0, 100});
+    // Another request that runs; nothing else uses the account yet.
+    core::account_entry running(
+        account, [] {}, core::time_point());
+    running.set_phase(core::connection_phase::running, core::time_point());
+    REQUIRE(
+        running.reserve(small, false, core::time_point()) ==
+        core::reservation_result::granted);
+    fixture f(account);
+    const auto refused =
+        f.raw("POST / HTTP/1.1\r\nContent-Length: 2\r\n\r\nok");
+    CHECK(refused.starts_with("HTTP/1.1 503"));
+    CHECK(refused.find("Retry-After: 1") != std::string::npos);
+    CHECK(refused.find("x-hyssoploft-not-run: true") != std::string::npos);
+    CHECK(account->refused() == 1);
+}
+
+// Guards against clients that wait for a consent that never comes.
+TEST_CASE("a client that asks before it sends its body is told to go on")
+{
+    fixture f;
+    const auto all =
+        f.raw("POST / HTTP/1.1\r\nContent-Length: 2\r\n"
+              "Expect: 100-continue\r\nConnection: close\r\n\r\nok");
+    CHECK(all.starts_with("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200"));
+}
--- a/Tests/platform/vm_settings.cpp
+++ b/Tests/platform/vm_settings.cpp
@@ -36,6 +36,7 @@
   budget-window-s: 10
   quota-slack: 140000
   grace-s: 8
+limits: {memory-mb: 260, max-fds: 4100}
 new-field: [1, 2]
 )";
 
@@ -59,6 +60,8 @@
     CHECK(out->repeat_slack == 52);
     CHECK(out->repeat_window == std::chrono::seconds(10));
     CHECK(out->stop_grace == std::chrono::seconds(8));
+    CHECK(out->memory_bytes == 260'000'000);
+    CHECK(out->max_descriptors == 4100);
 }
 
 TEST_CASE("a machine without a disk has no data directory")
