LibHttp: Let a rejected connection give way at once

Cause: After a rejection the connection is read for up to 1 s, so that the answer isn't lost. It counted as a writer of an answer, which gives way after 2 s only: at the limit of connections many rejections kept new clients out. The value of Expect was compared by case, against RFC 9110. Change: It counts as idle once the answer is sent. Expect is compared without case. Result: test_libhttp (20 cases), clients_many_fields, clients_slow_senders and clients_single_body pass; the other clients_* tests were not run again. There was no test of the fault before the change. Conclusion: A crowd that is rejected doesn't hold connections.

--- a/Libraries/LibHttp/server_session.cpp
+++ b/Libraries/LibHttp/server_session.cpp
@@ -11,6 +11,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
+#include <boost/beast/core/string.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
@@ -218,7 +219,7 @@
         return asio::redirect_error(asio::use_awaitable, ec);
     };
     const bool waits_for_consent =
-        header_value(parser.get(), "Expect") == "100-continue" &&
+        beast::iequals(parser.get()[bhttp::field::expect], "100-continue") &&
         parser.get().version() == 11;
     if (waits_for_consent)
     {
@@ -332,6 +333,8 @@
     // Closing a socket with unread bytes resets it, and the caller could lose
     // the answer.
     stream_.socket().shutdown(tcp::socket::shutdown_send, ignored);
+    // The answer has gone out: a new connection may take this one's place.
+    set_phase(core::connection_phase::idle);
     char discarded[4096];
     stream_.expires_after(std::chrono::seconds(1));
     while (!ignored)
