LibHttp, LibStorage, LibRelay: Mend what the review of the parts found

Each was found by reading (two reviewers that had not written the parts).

LibHttp: Beast bounds the rest of a head that it has not parsed, and not the sum; its composed reads kept a head in pieces in the phase `idle`, uncharged, for 60 s. The session reads a head itself now, counts its bytes and charges them as if all fields were the shortest. Chunked bodies double their reservation instead of taking that of the largest body after 16 KiB. A request that gives up waiting gives its place back. VMs of other regions have an account and connections of their own, since a call that is cut off on its way may have run; the account alone bounds connections, so that an old one always gives way before a new one is turned away.

LibStorage: write_ahead_log::make_durable wrote the last record as it read it a second time. If the sync of that record had failed before the process started, and its pages had been dropped since, it would have been lost after the replica had used it. The bytes of load() are kept until they are durable.

LibRelay: a hedge's timer no longer takes the manifest in force for a call that still connects, a request that has begun to answer gets no second call, and a failed first call does not wait for a silent second one until the deadline.

Tests: "a head in pieces is bounded as a whole", "a chunked body is charged as it comes", "the last record is written as it was read, not read again". The first two and the last were written with the change and not run without it.

--- a/Libraries/LibCore/memory_account.cpp
+++ b/Libraries/LibCore/memory_account.cpp
@@ -39,6 +39,12 @@
     }
 }
 
+void account_entry::stop_waiting()
+{
+    set_waiting(false);
+    ++account_->refused_;
+}
+
 reservation_result
 account_entry::reserve(std::size_t bytes, bool can_wait, time_point now)
 {
--- a/Libraries/LibCore/memory_account.hpp
+++ b/Libraries/LibCore/memory_account.hpp
@@ -71,6 +71,9 @@
     reservation_result
     reserve(std::size_t bytes, bool can_wait, time_point now);
 
+    /// The request was told to wait and is refused now.
+    void stop_waiting();
+
 private:
     friend class memory_account;
 
--- a/Libraries/LibHttp/server_session.cpp
+++ b/Libraries/LibHttp/server_session.cpp
@@ -17,6 +17,7 @@
 #include <boost/beast/http/write.hpp>
 #include <glog/logging.h>
 
+#include <algorithm>
 #include <exception>
 #include <utility>
 
@@ -29,14 +30,23 @@
 constexpr std::size_t field_cost = 192;
 /// A body is held twice while it is sent on.
 constexpr std::size_t copies_of_body = 2;
-/// Of chunks, whose sum isn't known: more than this reserves the largest body.
+/// First reservation for chunks, whose sum isn't known; it doubles as they
+/// come.
 constexpr std::size_t small_chunked_body = 16 * 1024;
-/// Held by an idle connection at most.
+/// Held by an idle connection at most, and read at once of a head.
 constexpr std::size_t idle_buffer_bytes = 4 * 1024;
+/// The shortest field, with its line's end.
+constexpr std::size_t shortest_field = 4;
 /// Between two tries to reserve memory, and their number: 5 s.
 constexpr std::chrono::milliseconds reserve_interval{50};
 constexpr int max_reserve_tries = 100;
 
+/// Of a head whose fields aren't known yet: it may be made of the shortest.
+constexpr std::size_t unfinished_head_cost(std::size_t bytes)
+{
+    return idle_buffer_bytes + bytes / shortest_field * field_cost;
+}
+
 std::size_t head_cost(const request& it)
 {
     std::size_t out = 0;
@@ -173,7 +183,6 @@
 asio::awaitable<void>
 server_session::read_head(parser_type& parser, error_code& ec)
 {
-    stream_.expires_after(keep_alive_timeout);
     // Waiting for the first byte and reading the request have time limits of
     // their own.
     if (buffer_.size() == 0)
@@ -183,22 +192,55 @@
             buffer_.shrink_to_fit();
         }
         set_phase(core::connection_phase::idle);
-        co_await bhttp::async_read_some(
-            stream_, buffer_, parser,
-            asio::redirect_error(asio::use_awaitable, ec));
+        stream_.expires_after(keep_alive_timeout);
+        co_await read_more(parser, ec);
     }
     set_phase(core::connection_phase::reading);
-    if (!ec && !parser.is_header_done())
+    stream_.expires_after(request_read_timeout);
+    // The parser bounds the part of a head that it looks at, and not the sum.
+    std::size_t head_bytes = 0;
+    while (!ec)
     {
-        if (!reserve_at_once(max_read_ahead_bytes))
+        const auto used = parser.put(buffer_.data(), ec);
+        buffer_.consume(used);
+        head_bytes += used;
+        if (ec == bhttp::error::need_more)
+        {
+            ec = {};
+        }
+        if (ec || parser.is_header_done())
         {
-            ec = asio::error::no_buffer_space;
             co_return;
         }
-        stream_.expires_after(request_read_timeout);
-        co_await bhttp::async_read_header(
-            stream_, buffer_, parser,
-            asio::redirect_error(asio::use_awaitable, ec));
+        const auto bytes = head_bytes + buffer_.size();
+        if (bytes > max_header_bytes)
+        {
+            ec = bhttp::error::header_limit;
+        }
+        else if (!reserve_at_once(unfinished_head_cost(bytes)))
+        {
+            ec = asio::error::no_buffer_space;
+        }
+        else
+        {
+            co_await read_more(parser, ec);
+        }
+    }
+}
+
+asio::awaitable<void>
+server_session::read_more(const parser_type& parser, error_code& ec)
+{
+    const auto n = co_await stream_.async_read_some(
+        buffer_.prepare(
+            std::min(idle_buffer_bytes, buffer_.max_size() - buffer_.size())),
+        asio::redirect_error(asio::use_awaitable, ec));
+    buffer_.commit(n);
+    if (ec == asio::error::eof)
+    {
+        ec = parser.got_some() || buffer_.size() > 0
+                 ? make_error_code(bhttp::error::partial_message)
+                 : make_error_code(bhttp::error::end_of_stream);
     }
 }
 
@@ -226,19 +268,18 @@
         constexpr std::string_view consent = "HTTP/1.1 100 Continue\r\n\r\n";
         co_await asio::async_write(stream_, asio::buffer(consent), done());
     }
-    bool is_large = false;
+    std::size_t reserved = announced;
     while (!ec && !length && !parser.is_done())
     {
         co_await bhttp::async_read_some(stream_, buffer_, parser, done());
-        if (!is_large && parser.get().body().size() > small_chunked_body)
+        if (!ec && parser.get().body().size() > reserved)
         {
-            is_large = true;
-            if (!ec && !co_await reserve(
-                           head + copies_of_body * max_request_body_bytes))
+            reserved = std::min<std::size_t>(
+                2 * parser.get().body().size(), max_request_body_bytes);
+            if (!co_await reserve(head + copies_of_body * reserved))
             {
                 ec = asio::error::no_buffer_space;
             }
-            stream_.expires_after(request_read_timeout);
         }
     }
     if (!ec && !parser.is_done())
@@ -262,6 +303,10 @@
         co_await timer.async_wait(asio::use_awaitable);
         result = entry_->reserve(bytes, true, now());
     }
+    if (result == core::reservation_result::wait)
+    {
+        entry_->stop_waiting();
+    }
     co_return result == core::reservation_result::granted;
 }
 
--- a/Libraries/LibHttp/server_session.hpp
+++ b/Libraries/LibHttp/server_session.hpp
@@ -43,6 +43,9 @@
     asio::awaitable<void> run();
     asio::awaitable<bool> read_request(request& out);
     asio::awaitable<void> read_head(parser_type& parser, error_code& ec);
+    /// Reads into buffer_. The end of the connection is the end of the stream,
+    /// or a partial message if a part of one was read.
+    asio::awaitable<void> read_more(const parser_type& parser, error_code& ec);
     /// Reserves memory before it reads; `ec` is no_buffer_space if there is
     /// none.
     asio::awaitable<void> read_body(parser_type& parser, error_code& ec);
--- a/Libraries/LibRelay/relay_run_hedge.cpp
+++ b/Libraries/LibRelay/relay_run_hedge.cpp
@@ -93,6 +93,7 @@
     // their callers.
     const bool is_candidate =
         !terms_.relayed && !terms_.is_engine && !hedge_ &&
+        !caller_.answer_started() &&
         terms_.repeat == manifest::repeat_kind::idempotent &&
         current_target_->local;
     const auto* policy =
@@ -127,8 +128,11 @@
     call.may_run_again = may_rerun();
     call.is_sent = current_attempt_->was_sent();
     call.is_stopping = services_.is_ending || services_.is_draining;
-    call.is_permitted =
-        !fleet::is_outdated(view, now) && !check_admission(view);
+    // Only for a call that was sent: check_admission() takes the manifest in
+    // force for the request's, and one that still connects must find out at
+    // its sending that it was admitted under an older one.
+    call.is_permitted = call.is_sent && !fleet::is_outdated(view, now) &&
+                        !check_admission(view);
     call.has_repeat_budget =
         retry_budget_for(services_, terms_.role).has_room(1, now);
     call.sent_at = attempt_started_at_;
@@ -288,12 +292,17 @@
         co_return false;
     }
     stop_silence_watch();
+    // No longer than a call of its own would be waited for.
+    hedge_->ended.expires_after(first_answer_patience());
     while (is_hedge_running() && !hedge_->has_won)
     {
-        hedge_->ended.expires_at(http::asio::steady_timer::time_point::max());
         http::error_code ec;
         co_await hedge_->ended.async_wait(
             http::asio::redirect_error(http::asio::use_awaitable, ec));
+        if (!ec && !hedge_->has_won)
+        {
+            cancel_hedge("silent");
+        }
     }
     co_return is_hedge_running();
 }
--- a/Libraries/LibStorage/write_ahead_log.cpp
+++ b/Libraries/LibStorage/write_ahead_log.cpp
@@ -267,7 +267,7 @@
         {
             return status;
         }
-        log->last_record_offset_ = offset;
+        log->last_record_ = make_record(**payload, sequence, log->file_id_);
         in.skip(record_header_bytes + (*payload)->size());
         ++log->next_sequence_;
     }
@@ -331,6 +331,7 @@
             sealed_ = next_sequence_ - 1;
             has_torn_tail_ = false;
             is_durable_ = true;
+            last_record_.clear();
         }
         if (!absl::IsResourceExhausted(status))
         {
@@ -343,10 +344,11 @@
 absl::Status write_ahead_log::copy_records(file& out)
 {
     auto status = out.append(make_file_header(file_id_, next_sequence_ - 1));
-    for (std::uint64_t at = file_header_bytes; status.ok() && at < size_;)
+    const auto end = size_ - last_record_.size();
+    for (std::uint64_t at = file_header_bytes; status.ok() && at < end;)
     {
         const auto part = files_.read_part(
-            path_, at, std::min<std::uint64_t>(part_bytes, size_ - at));
+            path_, at, std::min<std::uint64_t>(part_bytes, end - at));
         if (!part.ok())
         {
             return part.status();
@@ -359,7 +361,7 @@
         status = out.append(*part);
         at += part->size();
     }
-    return status;
+    return status.ok() ? out.append(last_record_) : status;
 }
 
 absl::Status write_ahead_log::refresh_last_record()
@@ -375,15 +377,12 @@
         return status;
     }
     // All records before the last one were synced before it was written. With
-    // no unsealed record, this syncs the cut of the tail.
-    const std::uint64_t from =
-        next_sequence_ - 1 > sealed_ ? last_record_offset_ : size_ - 1;
-    const auto bytes = files_.read_part(path_, from, size_ - from);
-    if (!bytes.ok())
-    {
-        return bytes.status();
-    }
-    if (auto status = files_.overwrite(path_, from, *bytes); !status.ok())
+    // no record, this syncs the cut of the tail.
+    const std::string bytes = last_record_.empty()
+                                  ? make_file_header(file_id_, sealed_)
+                                  : last_record_;
+    if (auto status = files_.overwrite(path_, size_ - bytes.size(), bytes);
+        !status.ok())
     {
         return status;
     }
@@ -398,6 +397,7 @@
     }
     file_ = std::move(*opened);
     is_durable_ = true;
+    last_record_.clear();
     return absl::OkStatus();
 }
 
@@ -466,7 +466,6 @@
     {
         return unrecoverable(status);
     }
-    last_record_offset_ = size_;
     ++next_sequence_;
     size_ += bytes.size();
     return absl::OkStatus();
@@ -481,10 +480,8 @@
     }
     std::string content = make_file_header(file_id, records.size());
     std::uint64_t sequence = 1;
-    std::uint64_t last_offset = 0;
     for (const auto& it : records)
     {
-        last_offset = content.size();
         content += make_record(it, sequence++, file_id);
     }
     if (auto status = guarded(replace_file([&](file& out) {
@@ -498,9 +495,9 @@
     next_sequence_ = sequence;
     size_ = content.size();
     sealed_ = records.size();
-    last_record_offset_ = last_offset;
     has_torn_tail_ = false;
     is_durable_ = true;
+    last_record_.clear();
     return absl::OkStatus();
 }
 
--- a/Libraries/LibStorage/write_ahead_log.hpp
+++ b/Libraries/LibStorage/write_ahead_log.hpp
@@ -109,9 +109,11 @@
     bool has_torn_tail_ = false; // There may be bytes after size_.
     // Since load(), until make_durable() succeeds.
     bool is_durable_ = true;
-    bool may_copy_ = true;                 // A new file was not refused yet.
-    std::uint64_t sealed_ = 0;             // Records that the header seals.
-    std::uint64_t last_record_offset_ = 0; // Valid if there is a record.
+    bool may_copy_ = true;     // A new file was not refused yet.
+    std::uint64_t sealed_ = 0; // Records that the header seals.
+    // The last record as load() found it, until it is durable: its pages may
+    // have been in the page cache only, and be gone when it is read again.
+    std::string last_record_;
     absl::Status failure_; // The first error; not OK poisons the log.
 };
 
--- a/Services/hyssoploft/fleet_process.cpp
+++ b/Services/hyssoploft/fleet_process.cpp
@@ -19,6 +19,7 @@
 
 #include <algorithm>
 #include <csignal>
+#include <limits>
 #include <utility>
 
 namespace hyssoploft::service {
@@ -55,6 +56,9 @@
 /// Part of the process's memory that requests may take, with their copies on
 /// the way to upstreams.
 constexpr double request_memory_share = 0.35;
+/// The same for requests that VMs of other regions pass on. Clients must not
+/// take their room: a call that is cut off on the way may have run.
+constexpr double peer_memory_share = 0.15;
 /// Part of it that large requests leave to small ones.
 constexpr double small_request_share = 0.25;
 /// Connections of clients, so that descriptors remain for files, peers and
@@ -62,8 +66,10 @@
 constexpr std::size_t max_callers = 2500;
 /// The platform's own files, which max-fds includes.
 constexpr std::uint32_t reserved_descriptors = 200;
-/// Part of the other descriptors that clients may take.
+/// Parts of the other descriptors that clients and VMs of other regions may
+/// take.
 constexpr double client_descriptor_share = 0.64;
+constexpr double peer_descriptor_share = 0.2;
 /// Larger buffers return to the system when they are freed.
 constexpr int large_buffer_bytes = 256 << 10;
 constexpr int kept_free_bytes = 1 << 20;
@@ -167,12 +173,14 @@
         fail_margin - stop_margin});
     traffic_ = std::make_shared<http::traffic_thread>();
     set_answer_budget();
-    open_account();
+    open_accounts();
     if (!settings_.control_address.empty())
     {
         auto status = add_server(
-            settings_.control_address, std::make_shared<platform::control_api>(
-                                           control_, settings_.regions));
+            settings_.control_address,
+            std::make_shared<platform::control_api>(
+                control_, settings_.regions),
+            account_);
         if (!status.ok())
         {
             return status;
@@ -182,7 +190,7 @@
     {
         auto status = add_server(
             settings_.directory_address,
-            std::make_shared<platform::directory_api>(control_));
+            std::make_shared<platform::directory_api>(control_), account_);
         if (!status.ok())
         {
             return status;
@@ -192,7 +200,7 @@
     {
         auto status = add_server(
             address_of(settings_.ip, options.metrics_port),
-            std::make_shared<metrics_page>(metrics_, account_));
+            std::make_shared<metrics_page>(metrics_, account_), account_);
         if (!status.ok())
         {
             return status;
@@ -217,7 +225,7 @@
     });
 }
 
-void fleet_process::open_account()
+void fleet_process::open_accounts()
 {
     const auto bytes = static_cast<double>(settings_.memory_bytes);
     if (bytes <= 0 || settings_.max_descriptors <= reserved_descriptors)
@@ -227,16 +235,19 @@
     // By default the allocator keeps what large buffers have once used.
     (void)::mallopt(M_MMAP_THRESHOLD, large_buffer_bytes);
     (void)::mallopt(M_TRIM_THRESHOLD, kept_free_bytes);
-    const auto limit = bytes * request_memory_share;
-    const auto connections =
-        client_descriptor_share *
+    const double descriptors =
         static_cast<double>(settings_.max_descriptors - reserved_descriptors);
-    core::account_limits limits;
-    limits.bytes = static_cast<std::size_t>(limit);
-    limits.small_part = static_cast<std::size_t>(limit * small_request_share);
-    limits.connections =
-        std::min(max_callers, static_cast<std::size_t>(connections));
-    account_ = std::make_shared<core::memory_account>(limits);
+    const auto make_account = [&](double memory_share, double fd_share) {
+        core::account_limits limits;
+        limits.bytes = static_cast<std::size_t>(bytes * memory_share);
+        limits.small_part = static_cast<std::size_t>(
+            bytes * memory_share * small_request_share);
+        limits.connections = std::min(
+            max_callers, static_cast<std::size_t>(descriptors * fd_share));
+        return std::make_shared<core::memory_account>(limits);
+    };
+    account_ = make_account(request_memory_share, client_descriptor_share);
+    peer_account_ = make_account(peer_memory_share, peer_descriptor_share);
 }
 
 absl::Status fleet_process::open_control()
@@ -296,7 +307,7 @@
         settings_.region, routing::backlog_settings{}, traffic_random_);
     auto status = add_server(
         settings_.entry_address, std::make_shared<relay::entry_handler>(relay_),
-        &entry_server_);
+        account_, &entry_server_);
     if (!status.ok())
     {
         return status;
@@ -305,7 +316,8 @@
         address_of(
             settings_.ip,
             static_cast<std::uint16_t>(settings_.first_peer_port + 1)),
-        std::make_shared<relay::peer_handler>(relay_), &relay_server_);
+        std::make_shared<relay::peer_handler>(relay_), peer_account_,
+        &relay_server_);
     if (!status.ok() || settings_.readiness_address.empty())
     {
         return status;
@@ -314,15 +326,21 @@
         settings_.readiness_address,
         std::make_shared<platform::readiness_api>([this] {
             return is_ready();
-        }));
+        }),
+        account_);
 }
 
 absl::Status fleet_process::add_server(
     const std::string& address, std::shared_ptr<http::request_handler> handler,
+    std::shared_ptr<core::memory_account> account,
     std::shared_ptr<http::http_server>* out)
 {
+    // The account closes an older connection at its limit; a limit of the
+    // server would turn the new one away.
+    const auto limit =
+        account ? std::numeric_limits<std::size_t>::max() : max_callers;
     auto server = http::http_server::create(
-        {address, max_callers, account_}, {traffic_}, std::move(handler));
+        {address, limit, std::move(account)}, {traffic_}, std::move(handler));
     if (!server.ok())
     {
         return server.status();
--- a/Services/hyssoploft/fleet_process.hpp
+++ b/Services/hyssoploft/fleet_process.hpp
@@ -51,13 +51,13 @@
 
     absl::Status open(const fleet_process_options& options);
     void set_answer_budget();
-    /// Leaves account_ null if the settings state no limits.
-    void open_account();
+    void open_accounts();
     absl::Status open_control();
     absl::Status open_entry();
     absl::Status add_server(
         const std::string& address,
         std::shared_ptr<http::request_handler> handler,
+        std::shared_ptr<core::memory_account> account,
         std::shared_ptr<http::http_server>* out = nullptr);
     bool is_ready() const;
     /// Requests that were read and are not answered, also those that wait for
@@ -84,7 +84,9 @@
     std::shared_ptr<http::traffic_thread> traffic_;
     std::unique_ptr<boost::asio::steady_timer> traffic_timer_;
     core::time_point next_traffic_tick_{};
-    std::shared_ptr<core::memory_account> account_; // Of traffic_; or null.
+    // Of traffic_; both null if the settings state no limits.
+    std::shared_ptr<core::memory_account> account_;
+    std::shared_ptr<core::memory_account> peer_account_;
     std::vector<std::shared_ptr<http::http_server>> servers_;
     std::shared_ptr<http::http_server> entry_server_;
     std::shared_ptr<http::http_server> relay_server_;
--- a/Tests/LibHttp/server_client.cpp
+++ b/Tests/LibHttp/server_client.cpp
@@ -512,3 +512,58 @@
               "Expect: 100-continue\r\nConnection: close\r\n\r\nok");
     CHECK(all.starts_with("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200"));
 }
+
+// Guards against a head without end whose pieces stop inside a field each
+// time: the parser takes the fields before it out of the buffer and bounds only
+// what is left.
+TEST_CASE("a head in pieces is bounded as a whole")
+{
+    const auto account = std::make_shared<core::memory_account>(
+        core::account_limits{8 << 20, 1 << 20, 10});
+    fixture f(account);
+    asio::io_context context;
+    tcp::socket socket(context);
+    socket.connect(*http::parse_endpoint(f.address));
+    boost::system::error_code ec;
+    asio::write(socket, asio::buffer(std::string("GET / HTTP/1.1\r\n")), ec);
+    std::string piece;
+    for (int n = 0; n < 250; ++n)
+    {
+        piece += "a:\r\n";
+    }
+    std::string all;
+    // Far beyond the bound; each piece is sent once the one before has arrived.
+    for (int n = 0; n < 64 && !ec && socket.available(ec) == 0; ++n)
+    {
+        asio::write(socket, asio::buffer(piece + "a:"), ec);
+        asio::write(socket, asio::buffer(std::string("\r\n")), ec);
+    }
+    ec = {};
+    asio::read(socket, asio::dynamic_buffer(all), ec);
+    const bool is_refused = all.starts_with("HTTP/1.1 431") || all.empty();
+    CHECK(is_refused);
+    CHECK(f.server->requests() == 0);
+}
+
+// Guards against a small chunked body that takes the room of a large one.
+TEST_CASE("a chunked body is charged as it comes")
+{
+    const auto account = std::make_shared<core::memory_account>(
+        core::account_limits{1 << 20, 1 << 18, 10});
+    // Another unfinished request: without it any size would be granted.
+    core::account_entry other(
+        account, [] {}, core::time_point());
+    other.set_phase(core::connection_phase::running, core::time_point());
+    REQUIRE(
+        other.reserve(1000, false, core::time_point()) ==
+        core::reservation_result::granted);
+    fixture f(account);
+    std::string text = "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n"
+                       "Connection: close\r\n\r\n";
+    for (int n = 0; n < 20; ++n)
+    {
+        text += "3e8\r\n" + std::string(1000, 'x') + "\r\n";
+    }
+    const auto answer = f.raw(text + "0\r\n\r\n");
+    CHECK(answer.starts_with("HTTP/1.1 200"));
+}
--- a/Tests/LibStorage/write_ahead_log.cpp
+++ b/Tests/LibStorage/write_ahead_log.cpp
@@ -376,6 +376,38 @@
     }
 }
 
+// Guards against a record that is taken for durable although its pages, which
+// were in the page cache only, have been dropped since it was read.
+TEST_CASE("the last record is written as it was read, not read again")
+{
+    for (const bool has_space : {true, false})
+    {
+        CAPTURE(has_space);
+        tests::fake_file_system files(1);
+        const std::string large(200, 'l');
+        fill(files, {large, "doubtful"});
+        records loaded;
+        auto log =
+            write_ahead_log::load(files, "d", "log", [&](std::string_view it) {
+                loaded.emplace_back(it);
+                return absl::OkStatus();
+            });
+        REQUIRE(log.ok());
+        if (!has_space)
+        {
+            files.capacity = files.content(path).size() + 60;
+        }
+        files.damage(path, files.content(path).size() - 1);
+        REQUIRE((*log)->make_durable().ok());
+        files.capacity = SIZE_MAX;
+        files.restart();
+        recovered_log last;
+        REQUIRE(open(files, last).ok());
+        CHECK_EQ(last.records, loaded);
+        CHECK_EQ(last.cut_bytes, 0);
+    }
+}
+
 // Guards against memory at a start that grows with the history: the whole log
 // beside what it decodes to.
 TEST_CASE("a log is opened in parts")
