--- a/Tests/LibFleet/entry_directory.cpp
+++ b/Tests/LibFleet/entry_directory.cpp
@@ -92,10 +92,10 @@
     }
     // 7.5 each on average.
     CHECK_EQ(chosen.size(), 40);
-    for (const auto& [id, count] : chosen)
+    for (const auto& it : chosen)
     {
-        CAPTURE(id);
-        CHECK(count <= 20);
+        CAPTURE(it.first);
+        CHECK(it.second <= 20);
     }
     CHECK_EQ(fleet::preferred_relay_vms(fleet, "east", 99).size(), 40);
     CHECK(fleet::preferred_relay_vms(fleet, "north", 3).empty());
