--- a/Libraries/LibCore/memory_account.hpp
+++ b/Libraries/LibCore/memory_account.hpp
@@ -65,13 +65,13 @@
     void set_phase(connection_phase it, time_point now);
 
     /// Call before the connection holds `bytes` in all. A request of up to
-    /// memory_account::small_bytes never waits. One that `can_wait` is told to
+    /// memory_account::small_bytes never waits. One that `can_wait` has to
     /// wait while unfinished requests have held their memory for less than
     /// memory_account::patience. What is held is unchanged unless granted.
     reservation_result
     reserve(std::size_t bytes, bool can_wait, time_point now);
 
-    /// The request was told to wait and is refused now.
+    /// Ends a wait without a grant; the request is refused.
     void stop_waiting();
 
 private:
