LibCore: Escape bytes beyond ASCII in log values on every machine

A value with such bytes, as a host name that a caller sends, was escaped on x86-64 and written raw where plain char is unsigned, as with most compilers for arm64: needs_quotes compared c <= ' ' on char.

The comparison is of unsigned char.

--- a/Libraries/LibCore/log_line.cpp
+++ b/Libraries/LibCore/log_line.cpp
@@ -14,10 +14,11 @@
 
 bool needs_quotes(std::string_view value)
 {
-    return value.empty() || std::any_of(value.begin(), value.end(), [](char c) {
-               return c <= ' ' || c == '"' || c == '=' || c == '\\' ||
-                      c == 0x7f;
-           });
+    // Plain char is signed on some machines only.
+    const auto is_special = [](unsigned char c) {
+        return c <= ' ' || c >= 0x7f || c == '"' || c == '=' || c == '\\';
+    };
+    return value.empty() || std::any_of(value.begin(), value.end(), is_special);
 }
 
 } // namespace
