Tests: Pin the bytes of messages, frames, log entries and log files

A fleet may hold x86-64 and arm64 at once, and a disk may move between them. Every test encoded and decoded on one machine, so that a kind that writes other bytes, for another size, sign or byte order, passed.

The bytes were written on x86-64 and read against the documented layouts.

On arm64 only compiled.

--- a/Tests/LibStorage/write_ahead_log.cpp
+++ b/Tests/LibStorage/write_ahead_log.cpp
@@ -1,6 +1,7 @@
 // Guards against records that are lost after they were reported as synced,
 // records that appear from nowhere, and damage taken for an empty log.
 
+#include <LibCore/keyed_hash.hpp>
 #include <LibStorage/write_ahead_log.hpp>
 #include <Support/check_property.hpp>
 #include <Support/fake_file_system.hpp>
@@ -39,6 +40,21 @@
 
 } // namespace
 
+// A disk may move to a VM of another kind: x86-64 and arm64 write the same
+// bytes.
+TEST_CASE("a log file has the same bytes on every kind of machine")
+{
+    tests::fake_file_system files(1);
+    fill(files, {"a", "", "\xff\x80"});
+    const std::string bytes =
+        "484c5357414c30314d000000000000000000000000000000073f8fd756c7c4c5"
+        "48574c52454330310100000000000000010000000000000087f720a95c80f615"
+        "92bf3e65823f98646148574c5245433031020000000000000000000000000000"
+        "006887e6bc0ab491d56ba5c56c97bd7b1148574c524543303103000000000000"
+        "000200000000000000906924c3925397c70f78c99764d9aef5ff80";
+    CHECK_EQ(core::to_hex(files.content(path)), bytes);
+}
+
 TEST_CASE("records come back in order after any number of restarts")
 {
     tests::fake_file_system files(1);
--- a/Tests/LibWire/frame_codec.cpp
+++ b/Tests/LibWire/frame_codec.cpp
@@ -1,6 +1,7 @@
 // Guards against frames that are accepted although they are forged, damaged,
 // made for another path or under a key that was removed.
 
+#include <LibCore/keyed_hash.hpp>
 #include <LibWire/frame_codec.hpp>
 
 #include <doctest.h>
@@ -52,6 +53,22 @@
     CHECK(it->type == wire::message_type::ping);
 }
 
+// A fleet may hold VMs of several kinds: x86-64 and arm64 write the same bytes.
+TEST_CASE("a frame has the same bytes on every kind of machine")
+{
+    const auto c = codec(old_key);
+    const std::string bytes =
+        "4859534c010102030700000007000000000000002a00000000000000766d3170"
+        "61796c6f616453fc6af4ea2705b336a812c10d3cf28b";
+    CHECK_EQ(
+        core::to_hex(
+            c.encode(sample(), "path", wire::max_datagram_bytes).value()),
+        bytes);
+    const auto decoded = c.decode(
+        core::from_hex(bytes).value(), "path", wire::max_datagram_bytes);
+    CHECK(std::holds_alternative<wire::frame>(decoded));
+}
+
 TEST_CASE("damaged frames are dropped with their reason")
 {
     struct fault
--- a/Tests/LibWire/serialization.cpp
+++ b/Tests/LibWire/serialization.cpp
@@ -1,6 +1,7 @@
 // Guards against bytes that make a decoder throw, read past its input or
 // allocate what a length field claims.
 
+#include <LibCore/keyed_hash.hpp>
 #include <LibWire/serialization.hpp>
 
 #include <doctest.h>
@@ -55,6 +56,18 @@
 
 } // namespace
 
+// A fleet may hold VMs of several kinds: x86-64 and arm64 write the same bytes.
+TEST_CASE("a struct has the same bytes on every kind of machine")
+{
+    const std::string bytes =
+        "ffffffffffffffffff01ffff03ffffffffffffffffff0101000000000000e0bf"
+        "02016101000e0301000000020000000300000001016b017601020304";
+    CHECK_EQ(core::to_hex(wire::encode(sample())), bytes);
+    const auto back = wire::decode<outer>(core::from_hex(bytes).value());
+    REQUIRE(back.ok());
+    CHECK(*back == sample());
+}
+
 TEST_CASE("a struct survives encoding and decoding")
 {
     const auto back = wire::decode<outer>(wire::encode(sample()));
