LibRelay, Tests: Show a second reading of the clock on every machine

The guards that came with its fix show it on x86-64 only: g++ for arm64 and clang read the left operand of the comparison first, and then a clock that advances hides the fault.

clock_readings.cpp also lets the clock go back at each reading, and Meta/check-style.sh names statements that read the clock twice, whatever the compiler. wait_for_current_view was the last one; it reads the clock once for each check.

--- a/Libraries/LibRelay/relay_run.cpp
+++ b/Libraries/LibRelay/relay_run.cpp
@@ -271,16 +271,17 @@
 // the other processes act on already.
 http::asio::awaitable<void> relay_run::wait_for_current_view()
 {
-    const auto until = services_.clock->now() + max_view_wait;
-    while (
-        services_.clock->now() < until && time_left() > min_time_left &&
-        !caller_.caller_gone() &&
-        fleet::is_outdated(*services_.source->view(), services_.clock->now()))
+    auto now = services_.clock->now();
+    const auto until =
+        std::min(now + max_view_wait, terms_.deadline - min_time_left);
+    while (now < until && !caller_.caller_gone() &&
+           fleet::is_outdated(*services_.source->view(), now))
     {
         http::asio::steady_timer timer(caller_.executor(), view_poll_interval);
         http::error_code ec;
         co_await timer.async_wait(
             http::asio::redirect_error(http::asio::use_awaitable, ec));
+        now = services_.clock->now();
     }
 }
 
--- a/Meta/check-style.sh
+++ b/Meta/check-style.sh
@@ -68,6 +68,27 @@
     "${tests[@]}" | sed 's/^\([^:]*:[0-9]*\):\(.*\)/\1: real time or chance:\2/' \
     >>"$findings" || true
 
+# Which of two readings of the clock in one statement comes first is the
+# compiler's choice, and differs between kinds of machine.
+mapfile -t product < <(printf '%s\n' "${code[@]}" | grep -v '^Tests/')
+awk '
+    FNR == 1 { readings = 0 }
+    {
+        sub(/\/\/.*/, "")
+        parts = split($0, part, /[;{}]/)
+        for (i = 1; i <= parts; i++) {
+            if (i > 1)
+                readings = 0
+            if (readings == 0)
+                first = FNR
+            text = part[i]
+            found = gsub(/(^|[^a-z_])(now|time_left|remaining)\(\)/, "", text)
+            if (readings < 2 && readings + found >= 2)
+                print FILENAME ":" first ": reads the clock twice"
+            readings += found
+        }
+    }' "${product[@]}" >>"$findings"
+
 # The users' platform has names of its own, which only its adapter knows.
 grep -nHE 'Hyssoploft-[A-Z]|beat-addr|Config\.(Put|Get)|Instances\.(Heartbeat|Deregister)|Evacuation\.(Start|End)|kv-total|target-latency-ms|cold-left-ms' \
     $(git ls-files --cached --others --exclude-standard \
--- a/Tests/LibRelay/clock_readings.cpp
+++ b/Tests/LibRelay/clock_readings.cpp
@@ -1,6 +1,8 @@
 // Guards against decisions that compare two readings of the clock as if they
-// were one moment: the order in which operands are evaluated differs between
-// compilers and machines.
+// were one moment. The order in which operands are evaluated differs between
+// compilers and machines: a decision that reads the left one first fails with a
+// clock that goes back, one that reads the right one first with a clock that
+// advances.
 
 #include "relay_fixture.hpp"
 
@@ -20,7 +22,7 @@
 
 } // namespace
 
-TEST_CASE("a clock that advances at each reading refuses no request")
+TEST_CASE("a clock that moves at each reading refuses no request")
 {
     struct row
     {
@@ -36,7 +38,8 @@
     };
     for (const auto& row : rows)
     {
-        for (const core::duration step : {1ns, 1000ns, 1000000ns})
+        for (const core::duration step :
+             {1ns, 1000ns, 1000000ns, -1000ns, -1000000ns})
         {
             CAPTURE(row.path);
             CAPTURE(step.count());
--- a/Tests/Support/skipping_clock.hpp
+++ b/Tests/Support/skipping_clock.hpp
@@ -10,9 +10,9 @@
 namespace hyssoploft::tests {
 
 /// Real time plus an offset, so that a test can let a pause of the process
-/// pass. Each reading is later than the one before, so that a decision that
-/// reads the time twice compares two moments on every machine and with every
-/// compiler. Thread safe.
+/// pass. Each reading is later than the one before, unless a test lets the
+/// clock go back, so that a decision that reads the time twice compares two
+/// moments. Thread safe.
 class skipping_clock final : public core::clock
 {
 public:
@@ -32,7 +32,7 @@
         offset_ += d.count();
     }
 
-    /// Advance at each reading.
+    /// Advance at each reading; a negative one sets the clock back.
     void set_step(core::duration d)
     {
         step_ = d.count();
