--- a/Tests/LibCore/bounded_archive.cpp
+++ b/Tests/LibCore/bounded_archive.cpp
@@ -10,7 +10,7 @@
 
 using namespace hyssoploft;
 
-TEST_CASE("an encoded text has the same bytes on every kind of machine")
+TEST_CASE("encoded values have the same bytes on every kind of machine")
 {
     const std::uint8_t byte = 0xfe;
     const std::int16_t negative = -2;
