--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -61,7 +61,7 @@
 put_status=000
 pause=0.2
 tries=0
-limit=$((SECONDS + 75))
+limit=$((SECONDS + 90))
 while [ $SECONDS -lt $limit ]; do
     vm=${control_vms[tries % ${#control_vms[@]}]}
     tries=$((tries + 1))
