--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -65,10 +65,8 @@
 while [ $SECONDS -lt $limit ]; do
     vm=${control_vms[tries % ${#control_vms[@]}]}
     tries=$((tries + 1))
-    curl -s -m 10 -o /dev/null -w '%{http_code}' \
-        -H 'Content-Type: application/json' -H 'Expect:' \
-        --data-binary "@$work/invalid.json" \
-        "http://${ips[$vm]}:8229/hyssoploft/Config.Put" \
+    "$call_program" "${ips[$vm]}:8229" POST /hyssoploft/Config.Put -t 10 \
+        -H 'Content-Type: application/json' -f "$work/invalid.json" \
         >"$work/put.status" &
     call=$!
     while kill -0 "$call" 2>/dev/null; do
--- a/review/9/run.sh
+++ b/review/9/run.sh
@@ -10,15 +10,15 @@
 configure "$(route slot-book unsafe 1 bench-desk 2500),
 $(route board-status safe 2 bench-desk 2500)"
 
-request front-1 POST /slot-book/first --data 'slot=1'
+request front-1 POST /slot-book/first -d 'slot=1'
 [ "$status" = 200 ] || { note "not served before"; review_end 2; }
 if [ "$trouble" = 0 ]; then
     statuses=(200 500 502 504 507)
 else
     statuses=(520 529 530 561 299)
 fi
-# book VM TARGET: one request on a connection of its own. curl reports an
-# answer that is none in the protocol as no answer, so the bytes are read.
+# book VM TARGET: one request on a connection of its own, whose answer is read
+# as bytes.
 book() {
     new_id
     printf '%s\r\n' "POST $2 HTTP/1.1" 'Host: desk.example' \
--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -5,5 +5,7 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p Build/review-2
-g++ -std=c++17 -O1 -g1 -Wall -Wextra -pthread \
-    -o Build/review-2/worker review/stand_ins_2/worker.cpp
+for name in worker call; do
+    g++ -std=c++17 -O1 -g1 -Wall -Wextra -pthread \
+        -o "Build/review-2/$name" "review/stand_ins_2/$name.cpp"
+done
--- a/review/fleet-2.sh
+++ b/review/fleet-2.sh
@@ -9,6 +9,7 @@
 cd "$(dirname "${BASH_SOURCE[0]}")/.." || exit 2
 daemon=target/Services/hyssoploft/hyssoploft
 worker_program=Build/review-2/worker
+call_program=Build/review-2/call
 record=$here/record.txt
 trouble=${TROUBLE:-1}
 declare -A pids=() ips=() regions=()
@@ -23,7 +24,7 @@
 workers=0
 requests=0
 
-for program in "$daemon" "$worker_program"; do
+for program in "$daemon" "$worker_program" "$call_program"; do
     [ -x "$program" ] || { echo "$program is not built" >&2; exit 2; }
 done
 work=$(mktemp -d) || exit 2
@@ -180,15 +181,15 @@
 "unit":"tokens","plain-tokens":200,"rate-per-s":440737,"burst":440737,
 "home-regions":[]}]}
 JSON
-    until curl -sf -m 3 -o /dev/null -H 'Content-Type: application/json' \
-        --data-binary "@$work/config.json" \
-        "http://${ips[core-1]}:8229/hyssoploft/Config.Put"; do
+    until [ "$("$call_program" "${ips[core-1]}:8229" POST \
+        /hyssoploft/Config.Put -t 3 -H 'Content-Type: application/json' \
+        -f "$work/config.json")" = 200 ]; do
         [ $SECONDS -lt $end ] || { note "no configuration"; review_end 2; }
         sleep 0.2
     done
     for name in "${entry_vms[@]}"; do
-        until curl -sf -m 2 -o /dev/null \
-            "http://${ips[$name]}:8224/hyssoploft/readyz"; do
+        until [ "$("$call_program" "${ips[$name]}:8224" GET \
+            /hyssoploft/readyz -t 2)" = 200 ]; do
             [ $SECONDS -lt $end ] || { note "not ready"; review_end 2; }
             sleep 0.1
         done
@@ -204,18 +205,16 @@
     id=$(printf 'r%04d%08x' $requests $((RANDOM * 32768 + RANDOM)))
 }
 
-# request VM METHOD PATH [CURL-ARGUMENT...]: a proper client's request; sets
-# `id`, `status` (000: no answer that is one) and `answer`.
+# request VM METHOD PATH [ARGUMENT...]: a client's request, with more arguments
+# for the stand-in; sets `id` and `status` (000: no whole answer).
 request() {
     local vm=$1 method=$2 path=$3
     shift 3
     new_id
-    status=$(curl -s -m 12 -X "$method" -o "$work/body" -D "$work/head" \
-        -w '%{http_code}' -H 'Host: desk.example' \
-        -H "Hyssoploft-Request-Id: $id" -H 'Hyssoploft-Deadline-Ms: 10000' \
-        -H 'Hyssoploft-Key: i9n73hh2b9wu3fexd9dn' "$@" \
-        "http://${ips[$vm]}:8221$path") || true
-    answer=$(head -c 300 "$work/body" 2>/dev/null | tr -d '\0')
+    status=$("$call_program" "${ips[$vm]}:8221" "$method" "$path" -t 12 \
+        -H 'Host: desk.example' -H "Hyssoploft-Request-Id: $id" \
+        -H 'Hyssoploft-Deadline-Ms: 10000' \
+        -H 'Hyssoploft-Key: i9n73hh2b9wu3fexd9dn' "$@")
     note "client $vm $method $path id=$id status=$status"
 }
 
