--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -4,6 +4,8 @@
 # answer. The platform ends a control VM that uses more than its memory, and
 # starts it again. Whether control VMs stay within their memory.
 here=$(cd "$(dirname "$0")" && pwd)
+# 0: the same without the disruption.
+trouble=${TROUBLE:-1}
 . "$here/../fleet-2.sh"
 memory_mb=256
 empty_routes=350000
--- a/review/9/run.sh
+++ b/review/9/run.sh
@@ -2,6 +2,8 @@
 # Workers answer some requests with a status that has no registered name.
 # Whether the client gets the worker's status.
 here=$(cd "$(dirname "$0")" && pwd)
+# 0: the same without the disruption.
+trouble=${TROUBLE:-1}
 . "$here/../fleet-2.sh"
 start_fleet
 start_worker desk-1 bench-desk dobrogea
--- a/review/fleet-2.sh
+++ b/review/fleet-2.sh
@@ -11,7 +11,6 @@
 worker_program=Build/review-2/worker
 call_program=Build/review-2/call
 record=$here/record.txt
-trouble=${TROUBLE:-1}
 declare -A pids=() ips=() regions=()
 control_vms=(core-1 core-2 core-3 core-4 core-5)
 entry_vms=(front-1 front-2 front-3 front-4)
