LibCore, platform: Bound what an invalid input can take

Cause: core::findings kept a path and a message for every fault and joined them into a status and a log line; the parsed form of a document had no bound either. The account of the server's memory charges the body alone.

Change: findings keep the first 64, cut long texts and count the rest, and readers of lists stop at that point. Invalid documents are no longer compressed.

--- a/Libraries/LibControl/fleet_control_calls.cpp
+++ b/Libraries/LibControl/fleet_control_calls.cpp
@@ -28,33 +28,58 @@
     return result.ok() ? absl::OkStatus() : result.status();
 }
 
+/// A valid document.
+struct checked_document
+{
+    std::uint64_t version = 0;
+    std::string packed;
+};
+
+/// INVALID_ARGUMENT with what is wrong.
+absl::StatusOr<checked_document> check_document(
+    const manifest::manifest_codec& codec, const std::string& document)
+{
+    const auto decoded = codec.decode(document);
+    if (!decoded.ok())
+    {
+        return decoded.status();
+    }
+    const auto status = manifest::check_manifest(*decoded);
+    if (!status.ok())
+    {
+        return status;
+    }
+    auto packed = pack_document(document);
+    if (!packed.ok())
+    {
+        return absl::InvalidArgumentError(packed.status().message());
+    }
+    return checked_document{decoded->version, *std::move(packed)};
+}
+
 } // namespace
 
 void fleet_control::put_manifest(std::string document, status_handler done)
 {
     // Validated on the caller's thread, because a large document takes
     // milliseconds.
-    auto decoded = codec_->decode(document);
-    auto status =
-        decoded.ok() ? manifest::check_manifest(*decoded) : decoded.status();
-    auto packed = pack_document(document);
-    if (status.ok() && !packed.ok())
-    {
-        status = absl::InvalidArgumentError(packed.status().message());
-    }
-    if (!status.ok())
+    auto checked = check_document(*codec_, document);
+    if (!checked.ok())
     {
         LOG(WARNING) << core::log_line("manifest_refused")
-                            .with("error", status.ToString());
-        boost::asio::post(io_, [done = std::move(done), status] {
-            done(status);
-        });
+                            .with("bytes", document.size())
+                            .with("error", checked.status().ToString());
+        boost::asio::post(
+            io_, [done = std::move(done), status = checked.status()] {
+                done(status);
+            });
         return;
     }
     boost::asio::post(
-        io_, [this, version = decoded->version, packed = *std::move(packed),
+        io_, [this, checked = *std::move(checked),
               done = std::move(done)]() mutable {
-            propose_manifest(version, std::move(packed), std::move(done));
+            propose_manifest(
+                checked.version, std::move(checked.packed), std::move(done));
         });
 }
 
--- a/Libraries/LibResource/admin_api.cpp
+++ b/Libraries/LibResource/admin_api.cpp
@@ -325,6 +325,11 @@
         }
         for (std::size_t n = 0; n < list->size(); ++n)
         {
+            if (found_.is_full())
+            {
+                found_.leave_out(list->size() - n);
+                return;
+            }
             T item{};
             read((*list)[n], core::concat(path, "[", n, "]"), item);
             to.push_back(std::move(item));
--- a/Libraries/LibResource/declaration_file.cpp
+++ b/Libraries/LibResource/declaration_file.cpp
@@ -52,6 +52,11 @@
         found_.add({file_, line, std::move(field)}, std::move(message));
     }
 
+    void leave_out(std::size_t n)
+    {
+        found_.leave_out(n);
+    }
+
     /// The line of a field, or of the nearest part above it that has one.
     static int line_for(const declared_resource& from, std::string path)
     {
@@ -196,22 +201,6 @@
     std::size_t nodes_ = 0; // Converted so far.
 };
 
-/// Sorts by line, so that users can correct a file from top to bottom.
-core::findings sort_by_line(const core::findings& from)
-{
-    auto items = from.items();
-    std::stable_sort(
-        items.begin(), items.end(), [](const auto& a, const auto& b) {
-            return a.where.line < b.where.line;
-        });
-    core::findings sorted;
-    for (auto& it : items)
-    {
-        sorted.add(std::move(it.where), std::move(it.message));
-    }
-    return sorted;
-}
-
 /// The identifier of the resource and the path of the field.
 std::string field_path(const resource_id& id, const std::string& field)
 {
@@ -257,6 +246,7 @@
                 file_parser::line_for(it, item.where.field), item.where.field,
                 item.message);
         }
+        parser_.leave_out(found.size() - found.items().size());
         if (!value)
         {
             return;
@@ -313,7 +303,8 @@
     {
         it.found.add({file_name, line_of(e.mark), ""}, e.msg);
     }
-    it.found = sort_by_line(it.found);
+    // Users correct a file from top to bottom.
+    it.found.sort_by_line();
     if (!it.found.empty())
     {
         it.changes.clear();
--- a/Libraries/LibResource/resource_json.cpp
+++ b/Libraries/LibResource/resource_json.cpp
@@ -132,6 +132,17 @@
         found_.add({"", 0, path}, std::move(message));
     }
 
+    /// True, with the rest of the list counted, once findings are only
+    /// counted.
+    bool stop_reading(const json::array& list, std::size_t at)
+    {
+        if (found_.is_full())
+        {
+            found_.leave_out(list.size() - at);
+        }
+        return found_.is_full();
+    }
+
     void read(const json::value& from, const std::string& path, std::string& to)
     {
         if (const auto* it = from.if_string())
@@ -226,6 +237,10 @@
         to.clear();
         for (std::size_t n = 0; n < list->size(); ++n)
         {
+            if (stop_reading(*list, n))
+            {
+                return;
+            }
             const auto item_path = core::concat(path, "[", n, "]");
             std::string item;
             read((*list)[n], item_path, item);
@@ -249,6 +264,10 @@
         to.clear();
         for (std::size_t n = 0; n < list->size(); ++n)
         {
+            if (stop_reading(*list, n))
+            {
+                return;
+            }
             const auto item_path = core::concat(path, "[", n, "]");
             T item;
             if (const auto* object = (*list)[n].if_object())
@@ -286,7 +305,7 @@
     const json::value& from, const std::string& path, core::findings& found)
 {
     json_reader in(found);
-    const auto before = found.items().size();
+    const auto before = found.size();
     const auto* object = from.if_object();
     if (object == nullptr)
     {
@@ -321,7 +340,7 @@
             in.read_fields(*object, prefix, v);
         },
         value);
-    if (found.items().size() != before)
+    if (found.size() != before)
     {
         return std::nullopt;
     }
--- a/Tests/Clients/common.sh
+++ b/Tests/Clients/common.sh
@@ -89,9 +89,9 @@
     pids[$1]=$!
 }
 
-# put_config VERSION: sends a configuration to the control VM.
-put_config() {
-    cat >"$dir/config.json" <<JSON
+# config_document VERSION: a configuration with one route.
+config_document() {
+    cat <<JSON
 {"version":$1,
  "routes":[{"name":"orders","host":"desk.example","path-prefix":"/orders/",
   "kind":"unsafe","timeout-ms":4000,"target-latency-ms":2000,"priority":2,
@@ -101,6 +101,11 @@
  "limits":{"max-header-bytes":16384,"max-body-bytes":4194304,
   "header-timeout-ms":3000,"idle-timeout-ms":15000},"tenants":[]}
 JSON
+}
+
+# put_config VERSION: sends a configuration to the control VM.
+put_config() {
+    config_document "$1" >"$dir/config.json"
     local n
     for ((n = 0; n < 20; n++)); do
         curl -sf -m 2 -o /dev/null --data-binary "@$dir/config.json" \
--- a/Tests/platform/manifest_document.cpp
+++ b/Tests/platform/manifest_document.cpp
@@ -158,3 +158,41 @@
         CHECK_FALSE(platform::manifest_document().decode(odd).ok());
     }
 }
+
+// An operator's generator wrote hundreds of thousands of empty entries: the
+// findings took hundreds of megabytes and ended the control VM.
+TEST_CASE("a document with a fault in each of many entries gets a short error")
+{
+    struct row
+    {
+        std::string list;
+        std::string entry;
+    };
+    const row rows[] = {
+        {"routes", "{}"},
+        {"routes", "0"},
+        {"routes", R"({"traffic-split":[{},{},{},0]})"},
+        {"services", "{}"},
+        {"tenants", R"({"api-keys":[0]})"},
+        {"tenants", "[]"},
+    };
+    constexpr std::size_t count = 100'000;
+    constexpr std::size_t max_error_bytes = 32 * 1024;
+    for (const auto& row : rows)
+    {
+        CAPTURE(row.list);
+        CAPTURE(row.entry);
+        std::string text = R"({"version":5,"routes":[],"services":[],")" +
+                           row.list + "\":[" + row.entry;
+        for (std::size_t n = 1; n < count; ++n)
+        {
+            text += "," + row.entry;
+        }
+        const auto out = platform::manifest_document().decode(text + "]}");
+        REQUIRE(absl::IsInvalidArgument(out.status()));
+        const std::string error(out.status().message());
+        CHECK(error.size() < max_error_bytes);
+        CHECK_EQ(error.rfind(row.list + "[0]", 0), 0);
+        CHECK(error.find(" more, or entries not read") != std::string::npos);
+    }
+}
