LibRelay, LibGateway: Keep a status that has no registered name

Cause: answers were made from head().result(), an enumeration that is 0 for each number that it doesn't name. 0 is below 500, so that such a server error also counted as a success, and calls that may run twice weren't repeated.

Change: http::set_status sets the number, wherever an answer is copied: whole answers and streams of LibRelay, whole answers, plain answers and stored answers of orders in LibGateway.

--- a/Libraries/LibGateway/inference_run.cpp
+++ b/Libraries/LibGateway/inference_run.cpp
@@ -255,7 +255,8 @@
     }
     generated_tokens_ += tokens.value_or(0);
     call.set_completed(tokens.value_or(0));
-    http::response answer(call.head().result(), 11);
+    http::response answer;
+    http::set_status(answer, call.head().result_int());
     http::copy_response_headers(call.head(), answer.base());
     answer.set("x-request-id", context_.request_id);
     answer.body() = *std::move(body);
--- a/Libraries/LibGateway/service_run.cpp
+++ b/Libraries/LibGateway/service_run.cpp
@@ -36,7 +36,8 @@
 
 http::response from_stored_answer(const ledger::stored_answer& stored)
 {
-    http::response out(http::bhttp::int_to_status(stored.status), 11);
+    http::response out;
+    http::set_status(out, stored.status);
     for (const auto& [name, value] : stored.headers)
     {
         out.set(name, value);
@@ -361,7 +362,8 @@
             {
                 call.set_completed(0);
                 out.refused.reset();
-                out.answer.emplace(call.head().result(), 11);
+                out.answer.emplace();
+                http::set_status(*out.answer, call.head().result_int());
                 http::copy_response_headers(call.head(), out.answer->base());
                 out.answer->body() = *std::move(body);
                 current_call_ = nullptr;
--- a/Libraries/LibHttp/types.hpp
+++ b/Libraries/LibHttp/types.hpp
@@ -42,6 +42,18 @@
 /// Time for one write to make progress, against readers that stopped.
 inline constexpr std::chrono::seconds write_timeout{30};
 
+/// Sets a status by its number: an enumerated one is lost if it has no
+/// registered name.
+inline void set_status(bhttp::response_header<>& to, unsigned code)
+{
+    to.result(code);
+    if (to.result() == bhttp::status::unknown)
+    {
+        // In place of Beast's "<unknown-status>".
+        to.reason("Unknown");
+    }
+}
+
 /// The value of a header, or an empty text.
 template <typename Message>
 std::string_view header_value(const Message& message, std::string_view name)
--- a/Libraries/LibRelay/relay_run_forward.cpp
+++ b/Libraries/LibRelay/relay_run_forward.cpp
@@ -21,7 +21,8 @@
     services_.router->record_first_event(
         placement_ticket_, services_.clock->now());
     // Before the body is read: the parser adds the trailers to the head.
-    http::response answer(from.head().result(), 11);
+    http::response answer;
+    http::set_status(answer, from.head().result_int());
     services_.codec->copy_answer_headers(from.head(), answer.base());
     const auto length = from.head().find(http::bhttp::field::content_length);
     if (caller_.is_head_request() && length != from.head().end())
@@ -74,8 +75,8 @@
 relay_run::forward_events(upstream_attempt& from)
 {
     // Before the body is read: the parser adds the trailers to the head.
-    http::bhttp::response<http::bhttp::empty_body> head(
-        from.head().result(), 11);
+    http::bhttp::response<http::bhttp::empty_body> head;
+    http::set_status(head, from.head().result_int());
     services_.codec->copy_answer_headers(from.head(), head.base());
     // The head is sent with the first event, so that a stream that breaks
     // earlier can still be retried at another upstream.
--- a/Tests/LibGateway/answers.cpp
+++ b/Tests/LibGateway/answers.cpp
@@ -111,6 +111,20 @@
     CHECK_EQ(got.not_run, "");
 }
 
+// Callers got them as "HTTP/1.1 000 <unknown-status>".
+TEST_CASE("a status without a registered name is forwarded by its number")
+{
+    for (const unsigned status : {299U, 419U, 499U})
+    {
+        CAPTURE(status);
+        gateway_fixture it;
+        it.upstream.set_replies({{whole_answer(status, "{\"error\":1}")}});
+        const auto got = it.call(chat_text());
+        CHECK_EQ(got.status, status);
+        CHECK_EQ(got.body, "{\"error\":1}");
+    }
+}
+
 TEST_CASE("a caller's key reaches an upstream in no encoding or header")
 {
     const auto key = std::string(good_key);
--- a/Tests/LibGateway/orders.cpp
+++ b/Tests/LibGateway/orders.cpp
@@ -187,6 +187,25 @@
     CHECK_EQ(it.limiter->settled.at(0), 0);
 }
 
+TEST_CASE("a repeated order gets a stored status without a registered name")
+{
+    gateway_fixture it;
+    it.ledger->outcome = begin_outcome::finished;
+    it.ledger->stored = ledger::stored_answer{299, {}, "booked"};
+    const auto got = it.call(booking_text());
+    CHECK_EQ(got.status, 299);
+    CHECK_EQ(got.body, "booked");
+}
+
+TEST_CASE("the order's answer keeps a status without a registered name")
+{
+    gateway_fixture it;
+    it.upstream.set_replies({{whole_answer(299, "booked")}});
+    const auto got = it.call(booking_text());
+    CHECK_EQ(got.status, 299);
+    CHECK_EQ(got.body, "booked");
+}
+
 TEST_CASE("the caller gets its answer when the record can't be finished")
 {
     gateway_fixture it;
