LibHttp, hyssopctl: Refuse an answer whose status HTTP doesn't have

Callers saw: an upstream in trouble answered with the status 000, and callers got it as an answer, with its stamp and body.

Cause: the parser takes any three digits for a status, and http_call looked for 1xx only. A 101 was passed over as an interim answer.

Change: check_answer_head decides what is the head of a final answer, 200 to 599, in one place: for calls to upstreams and between VMs, and for hyssopctl. Other heads are a broken attempt that may have run.

The issue names two more kinds, and both were tested: a blank or a control byte in the name of a field, and an answer without a length that is reset during a long upload. Neither was a fault here; the tests stay as guards.

--- a/Libraries/LibHttp/http_client.cpp
+++ b/Libraries/LibHttp/http_client.cpp
@@ -3,6 +3,7 @@
 #include <LibHttp/http_client.hpp>
 
 #include <LibCore/text.hpp>
+#include <LibHttp/answer_rules.hpp>
 
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -133,13 +134,19 @@
         {
             co_return to_status(ec);
         }
-        if (bhttp::to_status_class(parser_->get().result_int()) !=
-            bhttp::status_class::informational)
+        if (is_interim_status(parser_->get().result_int()))
         {
-            stage_ = call_stage::reading_answer;
-            ends_with_connection_ = parser_->need_eof();
-            co_return absl::OkStatus();
+            continue;
         }
+        auto status = check_answer_head(parser_->get());
+        if (!status.ok())
+        {
+            connection_->stream.close();
+            co_return status;
+        }
+        stage_ = call_stage::reading_answer;
+        ends_with_connection_ = parser_->need_eof();
+        co_return absl::OkStatus();
     }
     connection_->stream.close();
     co_return absl::DataLossError("interim answers without an answer");
--- a/Tests/LibGateway/answers.cpp
+++ b/Tests/LibGateway/answers.cpp
@@ -29,6 +29,15 @@
         "\r\n\r\n", body);
 }
 
+std::string
+chat_answer_with(std::string_view status_line, std::string_view line)
+{
+    const auto body = chat_body();
+    return core::concat(
+        status_line, "\r\nx-request-id: {id}\r\n", line,
+        "Content-Length: ", body.size(), "\r\n\r\n", body);
+}
+
 std::string text_of(const http::request& it)
 {
     std::ostringstream out;
@@ -85,6 +94,11 @@
         {whole_answer(200, "not JSON")},
         {whole_answer(200, "{}")},
         {whole_answer(500, "{}")},
+        {chat_answer_with("HTTP/1.1 000 X", "")},
+        {chat_answer_with("HTTP/1.1 101 X", "")},
+        {chat_answer_with("HTTP/1.1 600 X", "")},
+        {chat_answer_with("HTTP/1.1 200 X", "x note: 1\r\n")},
+        {chat_answer_with("HTTP/1.1 200 X", "x-note\x01: 1\r\n")},
     };
     for (const auto& row : rows)
     {
--- a/Tests/LibResource/hyssopctl.cpp
+++ b/Tests/LibResource/hyssopctl.cpp
@@ -174,6 +174,74 @@
 
 const std::string new_account = "{kind: account, name: new}";
 
+/// Answers one request with the given bytes and closes.
+class one_answer_server
+{
+public:
+    explicit one_answer_server(std::string bytes)
+        : bytes_(std::move(bytes)),
+          address_(
+              core::concat("127.0.0.1:", acceptor_.local_endpoint().port())),
+          thread_([this] {
+              serve();
+          })
+    {}
+
+    ~one_answer_server()
+    {
+        join();
+    }
+
+    absl::StatusOr<http_reply> post()
+    {
+        beast_transport transport;
+        auto out = transport.send(
+            address_, {"POST", "/x", "{}", "token", std::chrono::seconds(10)});
+        join();
+        return out;
+    }
+
+    const std::string& address() const
+    {
+        return address_;
+    }
+
+    /// Valid after post().
+    const std::string& request() const
+    {
+        return request_;
+    }
+
+private:
+    void serve()
+    {
+        auto socket = acceptor_.accept();
+        boost::asio::streambuf buf;
+        boost::asio::read_until(socket, buf, "{}");
+        request_.assign(
+            boost::asio::buffers_begin(buf.data()),
+            boost::asio::buffers_end(buf.data()));
+        boost::asio::write(socket, boost::asio::buffer(bytes_));
+        acceptor_.close();
+    }
+
+    void join()
+    {
+        if (thread_.joinable())
+        {
+            thread_.join();
+        }
+    }
+
+    const std::string bytes_;
+    std::string request_; // Of the thread until it has ended.
+    boost::asio::io_context io_;
+    boost::asio::ip::tcp::acceptor acceptor_{
+        io_, {boost::asio::ip::address_v4::loopback(), 0}};
+    const std::string address_;
+    std::thread thread_;
+};
+
 } // namespace
 
 TEST_CASE("a change is applied once, whichever exchange fails")
@@ -339,38 +407,42 @@
     CHECK(b.server.sent_requests.empty());
 }
 
+// Such a status was shown as an answer of the VM: "HTTP status 0".
+TEST_CASE("bytes that are no answer are a failure of the transport")
+{
+    const std::string rest = "\r\nContent-Length: 2\r\n\r\n{}";
+    const std::string rows[] = {
+        "HTTP/1.1 000 X" + rest,
+        "HTTP/1.1 099 X" + rest,
+        "HTTP/1.1 101 X" + rest,
+        "HTTP/1.1 600 X" + rest,
+        "HTTP/1.1 999 X" + rest,
+        "HTTP/1.1 200 OK\r\nX Y: 1" + rest,
+        "HTTP/1.1 200 OK\r\nX\x01: 1" + rest,
+        "HTTP/1.1 200 OK\r\nContent-Length : 2\r\n\r\n{}",
+        "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\n{}",
+    };
+    for (const auto& row : rows)
+    {
+        CAPTURE(row);
+        CHECK(absl::IsUnavailable(one_answer_server(row).post().status()));
+    }
+}
+
 TEST_CASE("the transport sends the token and reads the reply")
 {
-    namespace asio = boost::asio;
-    using asio::ip::tcp;
-    asio::io_context io;
-    tcp::acceptor acceptor(io, {asio::ip::address_v4::loopback(), 0});
-    const auto port = acceptor.local_endpoint().port();
-    std::string head;
-    std::thread server([&] {
-        auto socket = acceptor.accept();
-        asio::streambuf buf;
-        asio::read_until(socket, buf, "{}");
-        head.assign(
-            asio::buffers_begin(buf.data()), asio::buffers_end(buf.data()));
-        asio::write(
-            socket,
-            asio::buffer(std::string(
-                "HTTP/1.1 409 Conflict\r\nContent-Length: 2\r\n\r\nno")));
-    });
-    beast_transport transport;
-    const auto address = core::concat("127.0.0.1:", port);
-    const auto reply = transport.send(
-        address, {"POST", "/x", "{}", "token", std::chrono::seconds(10)});
-    server.join();
+    one_answer_server server(
+        "HTTP/1.1 409 Conflict\r\nContent-Length: 2\r\n\r\nno");
+    const auto reply = server.post();
     REQUIRE(reply.ok());
     CHECK_EQ(reply->status, 409);
     CHECK_EQ(reply->body, "no");
+    const auto& head = server.request();
     CHECK(head.starts_with("POST /x HTTP/1.1\r\n"));
     CHECK(head.find("Authorization: Bearer token\r\n") != std::string::npos);
 
-    acceptor.close();
-    CHECK_FALSE(transport.send(address, {"GET", "/", "", ""}).ok());
+    beast_transport transport;
+    CHECK_FALSE(transport.send(server.address(), {"GET", "/", "", ""}).ok());
     for (const auto* it :
          {"", "127.0.0.1", "127.0.0.1:0", "host:80", "1.2.3.4:x"})
     {
--- a/Tests/Support/scripted_upstream.cpp
+++ b/Tests/Support/scripted_upstream.cpp
@@ -84,9 +84,19 @@
     for (bool is_reused = false;; is_reused = true)
     {
         bhttp::request_parser<bhttp::string_body> parser;
-        co_await bhttp::async_read(
+        parser.body_limit(boost::none);
+        co_await bhttp::async_read_header(
             socket, buffer, parser,
             asio::redirect_error(asio::use_awaitable, ec));
+        const bool reads_body = state_.with([&] {
+            return replies_.empty() || !replies_.front().before_body;
+        });
+        if (!ec && reads_body && !parser.is_done())
+        {
+            co_await bhttp::async_read(
+                socket, buffer, parser,
+                asio::redirect_error(asio::use_awaitable, ec));
+        }
         if (ec)
         {
             co_return;
--- a/Tests/Support/scripted_upstream.hpp
+++ b/Tests/Support/scripted_upstream.hpp
@@ -42,6 +42,8 @@
     std::vector<delayed_bytes> later = {}; ///< Sent before `then`.
     /// Sent before `bytes` on a connection that carried another request.
     std::string if_reused = {};
+    /// Answers the head of the request; its body is never read.
+    bool before_body = false;
 };
 
 class scripted_upstream
--- a/Utilities/hyssopctl/beast_transport.cpp
+++ b/Utilities/hyssopctl/beast_transport.cpp
@@ -3,6 +3,7 @@
 #include <hyssopctl/beast_transport.hpp>
 
 #include <LibCore/text.hpp>
+#include <LibHttp/answer_rules.hpp>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/address.hpp>
@@ -107,10 +108,24 @@
         http::async_read(
             stream_, buffer_, parser_,
             [this](beast::error_code ec, std::size_t /*n*/) {
-                failed(ec, "receive");
+                if (!failed(ec, "receive"))
+                {
+                    check_head();
+                }
             });
     }
 
+    void check_head()
+    {
+        const auto status =
+            hyssoploft::http::check_answer_head(parser_.get().base());
+        if (!status.ok())
+        {
+            failure_ = absl::UnavailableError(
+                core::concat("receive: ", core::to_std(status.message())));
+        }
+    }
+
     asio::io_context context_;
     beast::tcp_stream stream_;
     beast::flat_buffer buffer_;
