LibHttp: Refuse an answer in a transfer coding that isn't known

Callers saw: the coded bytes of an upstream's answer as its body, under a head without the coding.

Cause: the parser ignores a transfer coding whose last one isn't "chunked", and others below it; the answer then ended with its connection, or its chunks were decoded and the rest passed on.

Change: check_transfer_coding takes "chunked" alone, in HTTP/1.1. Other answers are broken attempts, wherever check_answer_head is asked.

--- a/Libraries/LibHttp/answer_rules.cpp
+++ b/Libraries/LibHttp/answer_rules.cpp
@@ -1,8 +1,9 @@
-// Classes of statuses by their numbers (RFC 9110, section 15).
+// Classes of statuses by their numbers (RFC 9110, section 15), and framing.
 
 #include <LibHttp/answer_rules.hpp>
 
 #include <LibCore/text.hpp>
+#include <LibHttp/transfer_coding.hpp>
 
 namespace hyssoploft::http {
 
@@ -29,7 +30,8 @@
         return absl::DataLossError(
             core::concat("status ", code, " is none of an answer"));
     }
-    return absl::OkStatus();
+    const auto coding = check_transfer_coding(head, head.version());
+    return coding.ok() ? coding : absl::DataLossError(coding.message());
 }
 
 } // namespace hyssoploft::http
--- a/Libraries/LibHttp/answer_rules.hpp
+++ b/Libraries/LibHttp/answer_rules.hpp
@@ -2,7 +2,7 @@
 #define HYSSOPLOFT_LIBHTTP_ANSWER_RULES_HPP
 
 // What makes a head that the parser accepts an answer in HTTP. The parser
-// takes any three digits for a status.
+// takes any three digits for a status, and any text for a transfer coding.
 
 #include <LibHttp/types.hpp>
 
--- a/Tests/LibRelay/malformed_answers.cpp
+++ b/Tests/LibRelay/malformed_answers.cpp
@@ -199,6 +199,48 @@
     }
 }
 
+// The coded bytes reached callers as the body.
+TEST_CASE("an answer in a transfer coding that isn't known is refused")
+{
+    const std::string chunks = raw_chunk("body") + last_chunk();
+    struct row
+    {
+        std::string version;
+        std::string fields;
+        std::string body;
+    };
+    const row rows[] = {
+        {"1.1", "Transfer-Encoding: gzip\r\n", "body"},
+        {"1.1", "Transfer-Encoding: identity\r\n", "body"},
+        {"1.1", "Transfer-Encoding: \r\n", "body"},
+        {"1.1", "Transfer-Encoding: chunked, gzip\r\n", chunks},
+        {"1.1", "Transfer-Encoding: gzip, chunked\r\n", chunks},
+        {"1.1", "Transfer-Encoding: chunked, chunked\r\n", chunks},
+        {"1.1", "Transfer-Encoding: xchunked\r\n", chunks},
+        {"1.1", "Transfer-Encoding: chunked;q=1\r\n", chunks},
+        {"1.1", "Transfer-Encoding: gzip\r\nTransfer-Encoding: chunked\r\n",
+         chunks},
+        {"1.1", "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n",
+         chunks},
+        {"1.1", "Transfer-Encoding: chunked\r\nContent-Length: 4\r\n", chunks},
+        {"1.1", "Content-Length: 4\r\nTransfer-Encoding: gzip\r\n", "body"},
+        {"1.1", "Content-Length: 4\r\nContent-Length: 5\r\n", "body"},
+        {"1.0", "Transfer-Encoding: chunked\r\n", chunks},
+    };
+    for (const auto& row : rows)
+    {
+        CAPTURE(row.version);
+        CAPTURE(row.fields);
+        check_refused(
+            {core::concat(
+                 "HTTP/", row.version,
+                 " 200 OK\r\nx-request-id: {id}\r\nx-signature: s\r\n",
+                 row.fields, "\r\n", row.body),
+             after_reply::close},
+            "/order/1");
+    }
+}
+
 // The part that came was once taken for a whole answer: the write had used up
 // the error of the connection, so that reading saw an ordinary end.
 TEST_CASE("an answer without a length that is reset during the upload is cut")
