LibHttp: Refuse a request whose body has no known end

Cause: the parser ignores such a coding, and a request without a length is then complete after its head; the body was read as a next request.

Change: check_transfer_coding, which answers are already held to, is asked once a request's head is there: 400 without a known end, 501 for codings below "chunked", "not run", and the connection is closed. A request_malformed line has client, status and error.

--- a/Libraries/LibHttp/server_session.cpp
+++ b/Libraries/LibHttp/server_session.cpp
@@ -3,6 +3,7 @@
 #include <LibHttp/server_session.hpp>
 
 #include <LibCore/log_line.hpp>
+#include <LibHttp/transfer_coding.hpp>
 
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/co_spawn.hpp>
@@ -68,8 +69,23 @@
     return ec == asio::error::no_buffer_space;
 }
 
+error_code check_framing(const request& it)
+{
+    const auto status = check_transfer_coding(it, it.version());
+    if (absl::IsUnimplemented(status))
+    {
+        return make_error_code(boost::system::errc::not_supported);
+    }
+    return status.ok() ? error_code()
+                       : make_error_code(bhttp::error::bad_transfer_encoding);
+}
+
 bhttp::status status_of(const error_code& ec)
 {
+    if (ec == boost::system::errc::not_supported)
+    {
+        return bhttp::status::not_implemented;
+    }
     if (is_without_room(ec))
     {
         return bhttp::status::service_unavailable;
@@ -208,7 +224,12 @@
         {
             ec = {};
         }
-        if (ec || parser.is_header_done())
+        if (!ec && parser.is_header_done())
+        {
+            ec = check_framing(parser.get());
+            co_return;
+        }
+        if (ec)
         {
             co_return;
         }
@@ -350,7 +371,8 @@
     {
         co_return;
     }
-    response answer(status_of(ec), 11);
+    const auto status = status_of(ec);
+    response answer(status, 11);
     answer.set(bhttp::field::content_type, "application/json");
     answer.body() = R"({"error":{"message":"the request is malformed or )"
                     R"(exceeds a size limit","type":"invalid_request_error",)"
@@ -366,6 +388,14 @@
                         R"("type":"overloaded_error","reason":"no_memory",)"
                         R"("retry_after":1,"not_run":true}})";
     }
+    else
+    {
+        LOG_EVERY_T(INFO, 1)
+            << core::log_line("request_malformed")
+                   .with("client", remote_.to_string())
+                   .with("status", static_cast<unsigned>(status))
+                   .with("error", ec.message());
+    }
     answer.keep_alive(false);
     answer.prepare_payload();
     // What was read is dropped: the connection ends.
