LibGateway: Pass on a method that has no registered name

Callers saw: 502 for a service's method such as FIND, without a call.

Cause: the message was made from an enumerated method; the library throws for one without a registered name.

Change: the text of the method is copied, as LibRelay's codec does.

Measured, x86-64: "a service gets a method without a registered name" failed before (502, no call) and passes.

--- a/Libraries/LibGateway/service_run.cpp
+++ b/Libraries/LibGateway/service_run.cpp
@@ -431,10 +431,11 @@
 http::request service_run::make_upstream_message() const
 {
     const auto& from = caller_.message();
-    http::request out(
-        from.method(),
-        http::strip_credentials({from.target().data(), from.target().size()}),
-        11);
+    http::request out;
+    // The text: an enumerated method is lost if it has no registered name.
+    out.method_string(from.method_string());
+    out.target(
+        http::strip_credentials({from.target().data(), from.target().size()}));
     http::copy_request_headers(from, out);
     out.body() = from.body();
     return out;
--- a/Tests/LibGateway/orders.cpp
+++ b/Tests/LibGateway/orders.cpp
@@ -206,6 +206,19 @@
     CHECK_EQ(got.body, "booked");
 }
 
+// A method without a registered name threw on the way to the upstream.
+TEST_CASE("a service gets a method without a registered name")
+{
+    gateway_fixture it;
+    it.upstream.set_replies({{whole_answer(200, "found")}});
+    const auto got =
+        it.call(request_text("FIND", "/catalogue", "", key_header()));
+    CHECK_EQ(got.status, 200);
+    it.state.with([&] {
+        CHECK_EQ(it.upstream.received.at(0).method_string(), "FIND");
+    });
+}
+
 TEST_CASE("the caller gets its answer when the record can't be finished")
 {
     gateway_fixture it;
