LibRelay, LibHttp: Let a call leave all that it entered, however it ends

Cause: making the message threw, and relay_run left the open runs, the router's counts and the account's reservation in its last lines only. Such a call counted as running for ever, and its freed run was called at the stop.

Change: http_call returns INVALID_ARGUMENT for a message that can't be sent, and its caller gets 400 at once, "not run". relay_run::leave takes the run out of all that it entered, and an owner in run() calls it also for an exception or at the end of the thread.

--- a/Libraries/LibHttp/http_client.cpp
+++ b/Libraries/LibHttp/http_client.cpp
@@ -14,6 +14,7 @@
 #include <algorithm>
 #include <array>
 #include <charconv>
+#include <stdexcept>
 #include <utility>
 
 namespace hyssoploft::http {
@@ -53,6 +54,34 @@
         std::chrono::seconds(seconds) - keep_alive_margin);
 }
 
+absl::StatusOr<request> prepare(
+    const http_call::message_maker& make_message, const std::string& address)
+{
+    // Beast throws where a message can't be sent as it is: a body of a method
+    // that has none, a value that is too long.
+    try
+    {
+        auto out = make_message();
+        if (!out.ok())
+        {
+            return out;
+        }
+        out->version(11);
+        // A call that is passed on keeps the host that its caller named.
+        if (out->find(bhttp::field::host) == out->end())
+        {
+            out->set(bhttp::field::host, address);
+        }
+        out->keep_alive(true);
+        out->prepare_payload();
+        return out;
+    }
+    catch (const std::logic_error& error)
+    {
+        return absl::InvalidArgumentError(error.what());
+    }
+}
+
 } // namespace
 
 asio::awaitable<absl::Status> http_call::start(
@@ -83,21 +112,13 @@
     {
         co_return acquired.status();
     }
-    auto made = make_message();
+    auto made = prepare(make_message, address);
     if (!made.ok())
     {
         pool_.release(*std::move(acquired));
         co_return made.status();
     }
     auto& message = *made;
-    message.version(11);
-    // A call that is passed on keeps the host that its caller named.
-    if (message.find(bhttp::field::host) == message.end())
-    {
-        message.set(bhttp::field::host, address);
-    }
-    message.keep_alive(true);
-    message.prepare_payload();
     is_head_request_ = message.method() == bhttp::verb::head;
     connection_ = *std::move(acquired);
     connection_->limit_silence(silence_timeout_);
--- a/Libraries/LibHttp/http_client.hpp
+++ b/Libraries/LibHttp/http_client.hpp
@@ -47,7 +47,8 @@
     /// Sends `message` to "IP:port" and reads the head of the answer.
     /// UNAVAILABLE for a broken connection, DEADLINE_EXCEEDED after `timeout`
     /// (for connecting, sending and the head together), CANCELLED after
-    /// cancel(), DATA_LOSS for a malformed answer.
+    /// cancel(), DATA_LOSS for a malformed answer, INVALID_ARGUMENT for a
+    /// message that can't be sent, of which nothing was.
     asio::awaitable<absl::Status> start(
         std::string address, request message, bool fresh_connection,
         std::chrono::nanoseconds timeout);
--- a/Libraries/LibRelay/relay_run.cpp
+++ b/Libraries/LibRelay/relay_run.cpp
@@ -5,6 +5,7 @@
 #include <LibCore/text.hpp>
 #include <LibRelay/relay_ticket.hpp>
 
+#include <absl/cleanup/cleanup.h>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -81,10 +82,48 @@
 {
     // Keeps this object alive while handlers of the exchange refer to it.
     const auto self = shared_from_this();
+    // Also if an exception or the end of the thread ends the coroutine.
+    const auto entered = absl::MakeCleanup([this] {
+        leave();
+    });
     services_.open_runs.insert(this);
     caller_.on_caller_gone([this] {
         cancel_attempt();
     });
+    co_await run_attempts();
+}
+
+void relay_run::leave()
+{
+    caller_.on_caller_gone(nullptr);
+    services_.open_runs.erase(this);
+    stop_silence_watch();
+    current_attempt_ = nullptr;
+    cancel_hedge("cancelled");
+    attempts_text_ += std::exchange(hedge_text_, {});
+    finish_placement(placement_outcome::cancelled);
+    release_reservation();
+    if (terms_.reserved && attempt_counts_.executions == 0)
+    {
+        services_.rates->settle(*terms_.reserved, 0, services_.clock->now());
+    }
+    if (outcome_.empty())
+    {
+        outcome_ = "abandoned";
+    }
+    write_log();
+}
+
+void relay_run::finish_placement(placement_outcome end)
+{
+    if (const auto ticket = std::exchange(placement_ticket_, 0))
+    {
+        services_.router->finish_call(ticket, end, services_.clock->now());
+    }
+}
+
+http::asio::awaitable<void> relay_run::run_attempts()
+{
     for (;;)
     {
         if (caller_.caller_gone())
@@ -133,8 +172,7 @@
         placement_ticket_ = placed.chosen->ticket;
         const auto next = co_await attempt(*view, *placed.chosen);
         attempts_text_ += std::exchange(hedge_text_, {});
-        services_.router->finish_call(
-            placement_ticket_, last_end_, services_.clock->now());
+        finish_placement(last_end_);
         if (next == next_step::done)
         {
             break;
@@ -145,14 +183,6 @@
             break;
         }
     }
-    caller_.on_caller_gone(nullptr);
-    services_.open_runs.erase(this);
-    release_reservation();
-    if (terms_.reserved && attempt_counts_.executions == 0)
-    {
-        services_.rates->settle(*terms_.reserved, 0, services_.clock->now());
-    }
-    write_log();
 }
 
 void relay_run::cancel_attempt()
@@ -397,6 +427,11 @@
         outcome_ = "caller_gone";
         return next_step::done;
     }
+    if (absl::IsInvalidArgument(result.status))
+    {
+        is_malformed_ = true;
+        return next_step::give_up;
+    }
     const bool is_expired =
         !result.was_sent && result.end == placement_outcome::cancelled;
     if (is_expired)
@@ -448,6 +483,13 @@
             "no complete answer was received from the upstream"));
         co_return;
     }
+    if (is_malformed_)
+    {
+        co_await send_refusal(gateway::make_refusal(
+            refusal_reason::malformed_request,
+            "the request can't be sent to an upstream as it is"));
+        co_return;
+    }
     const auto reason = refused               ? reason_of(refused->refusal)
                         : services_.is_ending ? refusal_reason::shutting_down
                         : time_left() < min_time_left
--- a/Libraries/LibRelay/relay_run.hpp
+++ b/Libraries/LibRelay/relay_run.hpp
@@ -46,6 +46,12 @@
     void cancel_attempt();
 
 private:
+    http::asio::awaitable<void> run_attempts();
+    /// Takes the run out of all that it has entered: the list of open runs, the
+    /// counts of the router, and what is reserved. Writes its line of the log.
+    void leave();
+    void finish_placement(routing::placement_outcome end);
+
     /// Action after an attempt.
     enum class next_step : std::uint8_t
     {
@@ -160,7 +166,7 @@
     std::string hedge_text_; // Of the hedge's end, for the log.
     std::optional<http::asio::steady_timer> hedge_timer_;
     std::uint64_t hedge_timer_number_ = 0; // Tells older handlers apart.
-    std::uint64_t placement_ticket_ = 0;   // Of the current placement.
+    std::uint64_t placement_ticket_ = 0;   // Held now; 0: none.
     attempt_counts attempt_counts_;
     /// An error answer of an upstream, forwarded if no retry succeeds.
     std::optional<http::response> failed_answer_;
@@ -190,6 +196,7 @@
     std::uint64_t current_incarnation_ = 0; // Of the target; 0: unknown.
     /// An engine crashed under the prompt, and others had before.
     bool is_suspect_ = false;
+    bool is_malformed_ = false; // It can't be sent to any upstream.
 };
 
 /// Ends all requests of a VM that stops: each gets an answer, except for
--- a/Libraries/LibRelay/relay_run_hedge.cpp
+++ b/Libraries/LibRelay/relay_run_hedge.cpp
@@ -323,12 +323,10 @@
     attempt_counts_.executions +=
         result.execution != execution_state::not_run ? 1 : 0;
     first.cancel();
-    services_.router->finish_call(
-        placement_ticket_,
+    finish_placement(
         was_slow   ? placement_outcome::cancelled
         : is_error ? placement_outcome::errored
-                   : result.end,
-        now);
+                   : result.end);
     excluded_upstreams_.insert(current_target_->upstream);
 
     hedge_->is_settled = true;
--- a/Libraries/LibRelay/upstream_attempt.cpp
+++ b/Libraries/LibRelay/upstream_attempt.cpp
@@ -210,7 +210,9 @@
     }
     if (call_.stage() == http::call_stage::connecting)
     {
-        const bool is_cancelled = is_expired || absl::IsCancelled(status);
+        // The upstream is not to blame.
+        const bool is_cancelled = is_expired || absl::IsCancelled(status) ||
+                                  absl::IsInvalidArgument(status);
         co_return attempt_result{
             execution_state::not_run,
             is_cancelled ? routing::placement_outcome::cancelled
