--- a/Tests/LibHttp/server_client.cpp
+++ b/Tests/LibHttp/server_client.cpp
@@ -342,61 +342,6 @@
     }
 }
 
-// The text of such a body was run as a request of its own.
-TEST_CASE("a request whose body has no known end is refused, with all after it")
-{
-    struct row
-    {
-        std::string version;
-        std::string fields;
-        std::string status;
-    };
-    const std::string chunked = "Transfer-Encoding: chunked\r\n";
-    const std::string length = "Content-Length: 4\r\n";
-    const row rows[] = {
-        {"1.1", "Transfer-Encoding: gzip\r\n", " 400 "},
-        {"1.1", "Transfer-Encoding: identity\r\n", " 400 "},
-        {"1.1", "Transfer-Encoding: \r\n", " 400 "},
-        {"1.1", "Transfer-Encoding: xchunked\r\n", " 400 "},
-        {"1.1", "Transfer-Encoding: chunked;q=1\r\n", " 400 "},
-        {"1.1", "Transfer-Encoding: chunked, gzip\r\n", " 400 "},
-        {"1.1", "Transfer-Encoding: chunked,\r\n", " 400 "},
-        {"1.1", "Transfer-Encoding: gzip, chunked\r\n", " 501 "},
-        {"1.1", "Transfer-Encoding: chunked, chunked\r\n", " 501 "},
-        {"1.1", "Transfer-Encoding: gzip\r\n" + chunked, " 400 "},
-        {"1.1", chunked + chunked, " 400 "},
-        {"1.1", chunked + length, " 400 "},
-        {"1.1", length + chunked, " 400 "},
-        {"1.1", length + "Transfer-Encoding: gzip\r\n", " 400 "},
-        {"1.1", length + "Content-Length: 5\r\n", " 400 "},
-        {"1.0", chunked, " 400 "},
-        {"1.0", "Transfer-Encoding: gzip\r\n", " 400 "},
-        {"1.1", "Transfer-Encoding : chunked\r\n", " 400 "},
-    };
-    const std::string next =
-        "POST /next HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\n\r\nnext";
-    fixture it;
-    for (const auto& row : rows)
-    {
-        for (const auto* method : {"GET", "POST"})
-        {
-            CAPTURE(row.version);
-            CAPTURE(row.fields);
-            const auto answer = it.raw(
-                std::string(method) + " /first HTTP/" + row.version +
-                "\r\nHost: a\r\n" + row.fields + "\r\n" + next);
-            CHECK_EQ(answer.substr(8, 5), row.status);
-            // One answer: the connection was closed.
-            CHECK_EQ(answer.find("HTTP/1.1 ", 1), std::string::npos);
-        }
-    }
-    CHECK_EQ(
-        it.raw("POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: Chunked\r\n"
-               "Connection: close\r\n\r\n4\r\nbody\r\n0\r\n\r\n")
-            .substr(8, 5),
-        " 200 ");
-}
-
 TEST_CASE("a cut answer never looks whole")
 {
     struct row
