--- a/Libraries/LibRelay/relay_run.cpp
+++ b/Libraries/LibRelay/relay_run.cpp
@@ -82,8 +82,8 @@
 {
     // Keeps this object alive while handlers of the exchange refer to it.
     const auto self = shared_from_this();
-    // Also if an exception or the end of the thread ends the coroutine.
-    const auto entered = absl::MakeCleanup([this] {
+    // Runs also if an exception or the end of the thread ends the coroutine.
+    const auto cleanup = absl::MakeCleanup([this] {
         leave();
     });
     services_.open_runs.insert(this);
