LibCore: Allocate parsed JSON with the default alignment

Change: the counted resource uses the default alignment for all blocks, as the library's own does. No type there needs more.

--- a/Libraries/LibCore/json_document.cpp
+++ b/Libraries/LibCore/json_document.cpp
@@ -32,20 +32,22 @@
         return (n + header + unit - 1) / unit * unit;
     }
 
-    void* do_allocate(std::size_t n, std::size_t align) override
+    // NOTE: The library gives a block back with another alignment than it asked
+    // for; none is above the default one.
+    void* do_allocate(std::size_t n, std::size_t /*align*/) override
     {
         if (block_size(n) > limit_ - used_)
         {
             throw std::bad_alloc();
         }
-        auto* out = ::operator new(n, std::align_val_t(align));
+        auto* out = ::operator new(n);
         used_ += block_size(n);
         return out;
     }
 
-    void do_deallocate(void* at, std::size_t n, std::size_t align) override
+    void do_deallocate(void* at, std::size_t n, std::size_t /*align*/) override
     {
-        ::operator delete(at, std::align_val_t(align));
+        ::operator delete(at);
         used_ -= block_size(n);
     }
 
