LibManifest: Tell a list of accounts that is empty from one that is absent

Cause: the decoder left an empty vector for a missing "tenants" and for an empty list, and entry_handler::admit asked for a key only if that vector was not empty. The default of a document without tenants, which needs no keys, was taken for a document that has none left.

Evidence: the withdrawn key's requests reached the upstream with no account, so the new configuration was in force and its accounts counted as absent.

Change: manifest::accounts is optional, and route_table::needs_key is the one place that decides. On related paths a list that is null is refused, as it would open the same door (tenants) or lift a residency (home-regions), and an empty key in api-keys belongs to no account: as read, a request without the header ran for it.

--- a/Libraries/LibControl/fleet_control_view.cpp
+++ b/Libraries/LibControl/fleet_control_view.cpp
@@ -184,11 +184,14 @@
         return;
     }
     std::map<std::string, rate::account_rate> rates;
-    for (const auto& it : routes_->source().accounts)
+    if (const auto& accounts = routes_->source().accounts)
     {
-        if (it.tokens_per_second > 0)
+        for (const auto& it : *accounts)
         {
-            rates[it.name] = {it.tokens_per_second, it.burst_tokens, 0.0};
+            if (it.tokens_per_second > 0)
+            {
+                rates[it.name] = {it.tokens_per_second, it.burst_tokens, 0.0};
+            }
         }
     }
     if (credit_pool_)
--- a/Libraries/LibManifest/manifest.hpp
+++ b/Libraries/LibManifest/manifest.hpp
@@ -9,6 +9,7 @@
 #include <LibCore/time.hpp>
 
 #include <cstdint>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -102,7 +103,9 @@
     std::uint64_t version = 0;
     std::vector<traffic_route> routes;
     std::vector<upstream_role> roles;
-    std::vector<client_account> accounts;
+    /// Absent: requests need no key. Empty: no key is valid, so that only open
+    /// routes are served.
+    std::optional<std::vector<client_account>> accounts;
     caller_limits limits;
 };
 
--- a/Libraries/LibManifest/manifest_rules.cpp
+++ b/Libraries/LibManifest/manifest_rules.cpp
@@ -53,12 +53,23 @@
     }
 }
 
-void check_keys(const manifest& it, core::findings& out)
+void check_accounts(
+    const std::vector<client_account>& accounts, core::findings& out)
 {
+    std::set<std::string> names;
+    for (std::size_t n = 0; n < accounts.size(); ++n)
+    {
+        if (!names.insert(accounts[n].name).second)
+        {
+            out.add(
+                {"", 0, core::concat("accounts[", n, "]")},
+                "has the name of another account");
+        }
+    }
     std::map<std::string, std::string> account_by_key;
-    for (std::size_t n = 0; n < it.accounts.size(); ++n)
+    for (std::size_t n = 0; n < accounts.size(); ++n)
     {
-        const auto& account = it.accounts[n];
+        const auto& account = accounts[n];
         for (const auto& key : account.keys)
         {
             const auto [found, added] =
@@ -103,17 +114,10 @@
                 {"", 0, path}, "has the host and path prefix of another route");
         }
     }
-    std::set<std::string> accounts;
-    for (std::size_t n = 0; n < it.accounts.size(); ++n)
+    if (it.accounts)
     {
-        if (!accounts.insert(it.accounts[n].name).second)
-        {
-            out.add(
-                {"", 0, core::concat("accounts[", n, "]")},
-                "has the name of another account");
-        }
+        check_accounts(*it.accounts, out);
     }
-    check_keys(it, out);
     return out.to_status();
 }
 
--- a/Libraries/LibManifest/route_table.cpp
+++ b/Libraries/LibManifest/route_table.cpp
@@ -38,12 +38,9 @@
             found->second = std::min(found->second, it.pause_target);
         }
     }
-    for (const auto& it : source_.accounts)
+    if (source_.accounts)
     {
-        for (const auto& key : it.keys)
-        {
-            accounts_.emplace(key, &it);
-        }
+        add_keys(*source_.accounts);
     }
     for (const auto& it : source_.roles)
     {
@@ -51,6 +48,21 @@
     }
 }
 
+void route_table::add_keys(const std::vector<client_account>& accounts)
+{
+    for (const auto& it : accounts)
+    {
+        for (const auto& key : it.keys)
+        {
+            // A request without a key must not match an account.
+            if (!key.empty())
+            {
+                accounts_.emplace(key, &it);
+            }
+        }
+    }
+}
+
 const traffic_route*
 route_table::find_route(std::string_view host, std::string_view target) const
 {
--- a/Libraries/LibManifest/route_table.hpp
+++ b/Libraries/LibManifest/route_table.hpp
@@ -10,6 +10,7 @@
 #include <string>
 #include <string_view>
 #include <unordered_map>
+#include <vector>
 
 namespace hyssoploft::manifest {
 
@@ -35,7 +36,13 @@
     const traffic_route*
     find_route(std::string_view host, std::string_view target) const;
 
-    /// Null for an unknown key.
+    /// Whether requests of a route need the key of an account.
+    bool needs_key(const traffic_route& it) const
+    {
+        return !it.open && source_.accounts.has_value();
+    }
+
+    /// Null for an unknown key, and for no key.
     const client_account* find_account(const std::string& key) const;
 
     /// Null for an unknown role.
@@ -46,6 +53,8 @@
     core::duration pause_target_of(const std::string& role) const;
 
 private:
+    void add_keys(const std::vector<client_account>& accounts);
+
     manifest source_; // Immutable: the maps point into it.
     std::unordered_map<
         std::string, std::unordered_map<std::string, const traffic_route*>>
--- a/Libraries/LibRelay/relay_handler.cpp
+++ b/Libraries/LibRelay/relay_handler.cpp
@@ -125,7 +125,7 @@
             core::concat("no route in manifest ", routes.version()));
     }
     const manifest::client_account* account = nullptr;
-    if (!route->open && !routes.source().accounts.empty())
+    if (routes.needs_key(*route))
     {
         account = routes.find_account(out.head.key);
         if (!account)
--- a/Tests/LibManifest/manifest_rules.cpp
+++ b/Tests/LibManifest/manifest_rules.cpp
@@ -36,7 +36,7 @@
     route.timeout = std::chrono::seconds(3);
     route.roles = {{"engine", 1.0}};
     out.routes.push_back(route);
-    out.accounts.push_back(account("shop", {"k1", "k2"}));
+    out.accounts.emplace().push_back(account("shop", {"k1", "k2"}));
     return out;
 }
 
@@ -75,7 +75,7 @@
      "path_prefix"},
     {"shared key",
      [](manifest::manifest& it) {
-         it.accounts.push_back(account("other", {"k2"}));
+         it.accounts->push_back(account("other", {"k2"}));
      },
      "shares a key"}};
 
@@ -104,7 +104,7 @@
 TEST_CASE("findings contain no key")
 {
     auto invalid = valid_manifest();
-    invalid.accounts.push_back(account("other", {"k2"}));
+    invalid.accounts->push_back(account("other", {"k2"}));
     const auto status = manifest::check_manifest(invalid);
     CHECK(std::string(status.message()).find("k2") == std::string::npos);
 }
--- a/Tests/LibManifest/route_table.cpp
+++ b/Tests/LibManifest/route_table.cpp
@@ -57,7 +57,7 @@
     manifest::client_account account;
     account.name = "shop";
     account.keys = {"k1", "k2"};
-    source.accounts.push_back(account);
+    source.accounts.emplace().push_back(account);
     const manifest::route_table table(source);
     REQUIRE(table.find_account("k2"));
     CHECK(table.find_account("k2")->name == "shop");
@@ -65,6 +65,18 @@
     CHECK(table.find_account("") == nullptr);
 }
 
+// Guards against a request without a key that runs for an account.
+TEST_CASE("an empty key belongs to no account")
+{
+    manifest::manifest source;
+    manifest::client_account account;
+    account.keys = {"", "k1"};
+    source.accounts.emplace().push_back(account);
+    const manifest::route_table table(source);
+    CHECK(table.find_account("k1") != nullptr);
+    CHECK(table.find_account("") == nullptr);
+}
+
 TEST_CASE("a role's pause target is the shortest of its routes'")
 {
     manifest::manifest source;
--- a/Tests/LibRelay/expired_permissions.cpp
+++ b/Tests/LibRelay/expired_permissions.cpp
@@ -77,14 +77,14 @@
         {"key withdrawn", 1s,
          [](auto& it) {
              install_manifest(it, [](auto& next) {
-                 next.accounts[0].keys = {"other"};
+                 next.accounts->front().keys = {"other"};
              });
          },
          401, 0, 0},
         {"key given to another account", 1s,
          [](auto& it) {
              install_manifest(it, [](auto& next) {
-                 next.accounts[0].name = "other";
+                 next.accounts->front().name = "other";
              });
          },
          401, 0, 0},
@@ -160,7 +160,7 @@
         caller.send(relay_request("/resume/1", "a", "x-key: k\r\n"));
         CHECK(caller.read_until("part 1"));
         install_manifest(it, [&](auto& next) {
-            next.accounts[0].keys = {is_permitted ? "k" : "other"};
+            next.accounts->front().keys = {is_permitted ? "k" : "other"};
         });
         const auto got = caller.read();
         CHECK_EQ(got.status, 200);
--- a/Tests/LibRelay/lost_answers.cpp
+++ b/Tests/LibRelay/lost_answers.cpp
@@ -98,7 +98,7 @@
     it.set_rate(100);
     it.source->change([](auto& view, auto&) {
         auto next = view.routes->source();
-        next.accounts[0].homes = {"south"};
+        next.accounts->front().homes = {"south"};
         for (auto& route : next.routes)
         {
             route.homes = {"north"};
--- a/Tests/LibRelay/relay_fixture.cpp
+++ b/Tests/LibRelay/relay_fixture.cpp
@@ -355,7 +355,7 @@
         account.keys = {"k"};
         account.tokens_per_second = tokens_per_second;
         account.counts_requests = true;
-        next.accounts = {account};
+        next.accounts.emplace().push_back(account);
         view.routes = std::make_shared<manifest::route_table>(next);
     });
 }
--- a/Tests/platform/manifest_document.cpp
+++ b/Tests/platform/manifest_document.cpp
@@ -2,9 +2,12 @@
 
 #include <platform/manifest_document.hpp>
 
+#include <LibCore/text.hpp>
+
 #include <doctest.h>
 
 #include <string>
+#include <utility>
 
 using namespace hyssoploft;
 using manifest::repeat_kind;
@@ -51,10 +54,12 @@
     CHECK(out->roles[0].is_engine);
     CHECK(out->roles[0].engine.memory_tokens == 587510);
     CHECK_FALSE(out->roles[1].is_engine);
-    REQUIRE(out->accounts.size() == 1);
-    CHECK(out->accounts[0].keys.size() == 2);
-    CHECK(out->accounts[0].plain_tokens == 200);
-    CHECK_FALSE(out->accounts[0].counts_requests);
+    REQUIRE(out->accounts.has_value());
+    REQUIRE(out->accounts->size() == 1);
+    const auto& account = out->accounts->front();
+    CHECK(account.keys.size() == 2);
+    CHECK(account.plain_tokens == 200);
+    CHECK_FALSE(account.counts_requests);
     CHECK(out->limits.idle_timeout == std::chrono::seconds(15));
 }
 
@@ -95,6 +100,43 @@
     }
 }
 
+// Guards against doors that open because a list is absent, empty or null.
+TEST_CASE("a list of tenants that is empty is not absent")
+{
+    const auto at = sound.find("\"tenants\":");
+    const auto end = sound.find(",\"unknown\"");
+    const auto with_tenants = [&](const std::string& text) {
+        auto out = sound;
+        out.replace(at, end - at, text);
+        return platform::manifest_document().decode(out);
+    };
+    const auto absent = with_tenants("\"x\":[]");
+    REQUIRE(absent.ok());
+    CHECK_FALSE(absent->accounts.has_value());
+    const auto empty = with_tenants("\"tenants\":[]");
+    REQUIRE(empty.ok());
+    REQUIRE(empty->accounts.has_value());
+    CHECK(empty->accounts->empty());
+    for (const char* value : {"null", "{}", "false", "0", "\"\"", "[null]"})
+    {
+        CAPTURE(value);
+        CHECK_FALSE(with_tenants(core::concat("\"tenants\":", value)).ok());
+    }
+}
+
+TEST_CASE("a list that is null is refused")
+{
+    const std::pair<std::string, std::string> cases[] = {
+        {"[\"k1\",\"k2\"]", "null"}, // Keys of a tenant.
+        {"[\"east\"]", "null"}};     // Home regions of a route.
+    for (const auto& row : cases)
+    {
+        auto odd = sound;
+        odd.replace(odd.find(row.first), row.first.size(), row.second);
+        CHECK_FALSE(platform::manifest_document().decode(odd).ok());
+    }
+}
+
 // Guards against numbers that change their value, or end the process, when they
 // are converted to narrower types.
 TEST_CASE("a document with numbers out of range is refused")
