LibFleet: Keep departures whether or not their upstream is listed

Cause: a departure was a change of a row. Without a row, or with that of an earlier start, it had no effect; and a row that had left was removed after 30 s, so that a later announcement revived it.

A departure that names none means what can have sent it (find_departing): the one that has left if no later one is listed, else any start by now. It still counts only while its caller waits, which upstream_departures checks after that.

Why this works: the fact no longer depends on the order in which the row and the departure arrive, at any control VM that has either of them.

--- a/Libraries/LibControl/fleet_control.hpp
+++ b/Libraries/LibControl/fleet_control.hpp
@@ -11,6 +11,7 @@
 #include <LibControl/manifest_store.hpp>
 #include <LibControl/proposal_client.hpp>
 #include <LibControl/replica_driver.hpp>
+#include <LibControl/upstream_departures.hpp>
 #include <LibCore/clock.hpp>
 #include <LibCore/random_source.hpp>
 #include <LibFleet/leaving_upstreams.hpp>
@@ -70,6 +71,7 @@
                             public fleet::leave_sink,
                             public rate::credit_lender,
                             public evacuation_log,
+                            public departure_log,
                             public replica_environment,
                             public fleet_source
 {
@@ -110,16 +112,14 @@
     void
     change_evacuation(evacuation_change change, change_handler done) override;
 
-    /// Records that an upstream registered. Only on a control VM, as leave().
+    /// Records that an upstream registered. Only on a control VM.
     void announce(fleet::upstream_row row);
 
-    /// Records that an incarnation of an upstream, and earlier ones, are
-    /// leaving. A departure that names none means the one that is listed; it
-    /// is ignored if its caller is gone, as it may be older than that one.
-    /// `caller_waits` is called at once.
-    void leave(
-        std::string upstream, std::optional<std::uint64_t> incarnation,
-        const std::function<bool()>& caller_waits);
+    // departure_log; only on a control VM.
+    void find_departing(
+        std::string upstream, std::uint64_t unix_ms,
+        incarnation_handler done) override;
+    void record_departure(fleet::departure it, record_handler done) override;
 
     /// Sets the load of this VM that the next reports carry.
     void set_loads(std::vector<fleet::load_row> loads) override;
@@ -242,12 +242,12 @@
     void send_suspects(core::time_point now);
     std::vector<std::string> suspect_recipients() const;
 
-    // Upstreams that said in answers that they leave
-    // (fleet_control_leaving.cpp).
+    // Upstreams that leave (fleet_control_leaving.cpp).
+    void
+    apply_departure(const fleet::departure& it, const std::string& seen_by);
     void on_leave_notice(const wire::incoming_message& it);
     void update_leaving();
     void send_leaving(core::time_point now);
-    void apply_leaving(const fleet::leave_row& it, const std::string& vm);
 
     // Account credit (fleet_control_credit.cpp).
     struct pending_loan;
--- a/Libraries/LibControl/fleet_control_calls.cpp
+++ b/Libraries/LibControl/fleet_control_calls.cpp
@@ -20,8 +20,6 @@
 /// Shorter than the request timeout of operators.
 constexpr std::chrono::milliseconds read_timeout{900};
 constexpr std::chrono::milliseconds apply_poll_interval{20};
-/// Identifiers of other writers may be as long as a request's head.
-constexpr std::size_t max_logged_id_bytes = 64;
 
 absl::Status status_of(const absl::StatusOr<std::string>& result)
 {
@@ -202,43 +200,4 @@
     });
 }
 
-void fleet_control::leave(
-    std::string upstream, std::optional<std::uint64_t> incarnation,
-    const std::function<bool()>& caller_waits)
-{
-    if (!incarnation)
-    {
-        const auto listed = view()->fleet;
-        const auto found = listed->upstreams.find(upstream);
-        if (found != listed->upstreams.end())
-        {
-            incarnation = found->second.incarnation;
-        }
-        // NOTE: After the incarnation is known, which is not a later start
-        // then.
-        if (!caller_waits())
-        {
-            LOG_EVERY_N(WARNING, 20)
-                << core::log_line("departure_abandoned")
-                       .with(
-                           "upstream", upstream.substr(0, max_logged_id_bytes));
-            return;
-        }
-    }
-    boost::asio::post(io_, [this, upstream = std::move(upstream), incarnation] {
-        const auto now = clock_->now();
-        const auto change = incarnation
-                                ? upstreams_.leave(upstream, *incarnation, now)
-                                : upstreams_.leave(upstream, now);
-        if (change == fleet::upstream_table::change::none)
-        {
-            return;
-        }
-        LOG(INFO)
-            << core::log_line("upstream_leaves").with("upstream", upstream);
-        view_changed_ = true;
-        send_fleet_notices(true);
-    });
-}
-
 } // namespace hyssoploft::control
--- a/Libraries/LibControl/fleet_control_leaving.cpp
+++ b/Libraries/LibControl/fleet_control_leaving.cpp
@@ -1,5 +1,6 @@
-// Upstreams that said in answers to this VM that they leave: it reports them to
-// the control VMs, which spread it like an announcement of the upstream.
+// Upstreams that leave: those that tell a control VM so, and those that said so
+// in answers to a VM, which reports them to the control VMs. These spread it
+// like an announcement of the upstream.
 
 #include <LibControl/fleet_control.hpp>
 
@@ -8,6 +9,8 @@
 #include <boost/asio/post.hpp>
 #include <glog/logging.h>
 
+#include <utility>
+
 namespace hyssoploft::control {
 
 namespace {
@@ -21,6 +24,40 @@
 
 } // namespace
 
+void fleet_control::find_departing(
+    std::string upstream, std::uint64_t unix_ms, incarnation_handler done)
+{
+    boost::asio::post(
+        io_, [this, upstream = std::move(upstream), unix_ms,
+              done = std::move(done)] {
+            done(upstreams_.find_departing(upstream, unix_ms));
+        });
+}
+
+void fleet_control::record_departure(fleet::departure it, record_handler done)
+{
+    boost::asio::post(io_, [this, it = std::move(it), done = std::move(done)] {
+        apply_departure(it, options_.vm);
+        done(absl::OkStatus());
+    });
+}
+
+void fleet_control::apply_departure(
+    const fleet::departure& it, const std::string& seen_by)
+{
+    if (upstreams_.leave(it, clock_->now()) ==
+        fleet::upstream_table::change::none)
+    {
+        return;
+    }
+    LOG(INFO) << core::log_line("upstream_leaves")
+                     .with("upstream", it.upstream)
+                     .with("incarnation", it.incarnation)
+                     .with("seen_by", seen_by);
+    view_changed_ = true;
+    send_fleet_notices(true);
+}
+
 void fleet_control::report_leaving(
     const std::string& upstream, std::uint64_t incarnation, core::time_point at)
 {
@@ -56,7 +93,7 @@
     {
         for (const auto& row : rows)
         {
-            apply_leaving(row, options_.vm);
+            apply_departure({row.upstream, row.incarnation}, options_.vm);
         }
     }
     const auto payload = wire::encode(fleet::leave_notice{rows});
@@ -87,26 +124,8 @@
     }
     for (const auto& row : notice->rows)
     {
-        apply_leaving(row, it.sender);
+        apply_departure({row.upstream, row.incarnation}, it.sender);
     }
 }
 
-void fleet_control::apply_leaving(
-    const fleet::leave_row& it, const std::string& vm)
-{
-    const auto change =
-        upstreams_.leave(it.upstream, it.incarnation, clock_->now());
-    if (change == fleet::upstream_table::change::none)
-    {
-        return;
-    }
-    LOG(INFO) << core::log_line("upstream_leaves")
-                     .with("upstream", it.upstream)
-                     .with("incarnation", it.incarnation)
-                     .with("seen_by", vm)
-                     .with("age_ms", it.age_ms);
-    view_changed_ = true;
-    send_fleet_notices(true);
-}
-
 } // namespace hyssoploft::control
--- a/Libraries/LibCore/clock.hpp
+++ b/Libraries/LibCore/clock.hpp
@@ -17,7 +17,8 @@
     /// Monotonic time; it does not advance while the VM is suspended.
     virtual time_point now() const = 0;
 
-    /// Unix time in nanoseconds, for logs and spans only: it can jump.
+    /// Unix time in nanoseconds, for logs, spans and comparisons with the start
+    /// times of upstreams only: it can jump.
     virtual std::uint64_t unix_nanoseconds() const = 0;
 };
 
--- a/Libraries/LibFleet/upstream_table.cpp
+++ b/Libraries/LibFleet/upstream_table.cpp
@@ -28,6 +28,12 @@
            std::tie(b.incarnation, b.sequence);
 }
 
+departed_upstreams::time departure_time(core::time_point it)
+{
+    return std::chrono::duration_cast<departed_upstreams::time>(
+        it.time_since_epoch());
+}
+
 bool has_same_properties(const upstream_row& a, const upstream_row& b)
 {
     return a.address == b.address && a.role == b.role && a.region == b.region &&
@@ -77,6 +83,14 @@
     {
         row.state = expired_state;
     }
+    if (row.state == leaving_state)
+    {
+        (void)departed_.add({row.id, row.incarnation}, departure_time(now));
+    }
+    else if (departed_.contains(row.id, row.incarnation))
+    {
+        row.state = std::max(row.state, leaving_state);
+    }
     const auto found = entries_.find(it.id);
     const bool is_known = found != entries_.end();
     if (is_known)
@@ -130,10 +144,14 @@
 }
 
 upstream_table::change
-upstream_table::leave(const std::string& id, core::time_point now)
+upstream_table::leave(const departure& it, core::time_point now)
 {
-    const auto found = entries_.find(id);
-    if (found == entries_.end() || found->second.row.state >= leaving_state)
+    (void)departed_.add(it, departure_time(now));
+    const auto found = entries_.find(it.upstream);
+    const bool is_meant = found != entries_.end() &&
+                          found->second.row.incarnation <= it.incarnation &&
+                          found->second.row.state < leaving_state;
+    if (!is_meant)
     {
         return change::none;
     }
@@ -143,13 +161,21 @@
     return change::leaving;
 }
 
-upstream_table::change upstream_table::leave(
-    const std::string& id, std::uint64_t incarnation, core::time_point now)
+std::uint64_t upstream_table::find_departing(
+    const std::string& id, std::uint64_t unix_ms) const
 {
     const auto found = entries_.find(id);
-    const bool is_meant =
-        found != entries_.end() && found->second.row.incarnation <= incarnation;
-    return is_meant ? leave(id, now) : change::none;
+    const auto* listed = found == entries_.end() ? nullptr : &found->second.row;
+    const auto departed = departed_.incarnation_of(id);
+    if (departed && (!listed || listed->incarnation <= *departed))
+    {
+        return *departed;
+    }
+    if (listed)
+    {
+        return std::max(listed->incarnation, unix_ms);
+    }
+    return unix_ms + static_cast<std::uint64_t>(start_time_tolerance.count());
 }
 
 upstream_table::change
@@ -170,6 +196,11 @@
         {
             stored.row.state = it.state;
             stored.change_number = ++change_counter_;
+            if (it.state == leaving_state)
+            {
+                (void)departed_.add(
+                    {it.id, it.incarnation}, departure_time(now));
+            }
             return change::leaving;
         }
         return apply(it, now);
@@ -200,6 +231,7 @@
 
 void upstream_table::tick(core::time_point now)
 {
+    departed_.remove_old(departure_time(now));
     for (auto it = entries_.begin(); it != entries_.end();)
     {
         auto& [id, stored] = *it;
--- a/Libraries/LibFleet/upstream_table.hpp
+++ b/Libraries/LibFleet/upstream_table.hpp
@@ -3,9 +3,10 @@
 
 // Upstreams that announced themselves to this or another control VM. The newest
 // (incarnation, sequence) wins; an incarnation that has left never serves
-// again. Does no I/O.
+// again, also if it was not listed when it left. Does no I/O.
 
 #include <LibCore/time.hpp>
+#include <LibFleet/departed_upstreams.hpp>
 #include <LibFleet/fleet_messages.hpp>
 
 #include <cstdint>
@@ -42,12 +43,16 @@
     /// Applies an announcement received directly from the upstream.
     change announce(const upstream_row& it, core::time_point now);
 
-    /// Marks the stored incarnation as leaving.
-    change leave(const std::string& id, core::time_point now);
+    /// Records a departure, which marks the row of that incarnation or of an
+    /// earlier one as leaving, now or when it arrives.
+    change leave(const departure& it, core::time_point now);
 
-    /// The same if the stored incarnation is `incarnation` or older.
-    change leave(
-        const std::string& id, std::uint64_t incarnation, core::time_point now);
+    /// The incarnation that a departure without one means, of an upstream that
+    /// is present at `unix_ms`: the one that has left, if no later one is
+    /// listed, as upstreams repeat their departures; else any that has started
+    /// by then, since the one that leaves may not have been heard of.
+    std::uint64_t
+    find_departing(const std::string& id, std::uint64_t unix_ms) const;
 
     /// Applies a row of another control VM.
     change merge(const upstream_row& it, core::time_point now);
@@ -88,6 +93,10 @@
     /// A silent upstream may still serve calls, as only its announcements to
     /// the control VMs may be lost. After this time it is removed.
     static constexpr core::duration removal_timeout = std::chrono::seconds(30);
+    /// Tolerated difference between the clocks of a VM and of an upstream that
+    /// is not listed. Shorter than the time between a departure and the next
+    /// start of the upstream, which serves on for a while after it.
+    static constexpr std::chrono::milliseconds start_time_tolerance{2000};
 
 private:
     change apply(const upstream_row& it, core::time_point now);
@@ -100,7 +109,9 @@
     void expire_replaced_by(const upstream_row& it);
 
     std::uint64_t& change_counter_;
+    // No incarnation in departed_ has a row in the state serving.
     std::map<std::string, entry> entries_;
+    departed_upstreams departed_;
     std::map<std::string, std::uint64_t> removed_; // Change number.
     std::optional<std::set<std::string>> roles_;
 };
--- a/Tests/Processes/platform_fleet.sh
+++ b/Tests/Processes/platform_fleet.sh
@@ -9,7 +9,7 @@
 platform_upstream_program=$fleet_build/Tests/StandIns/platform_upstream
 platform_control=()
 platform_entry=()
-declare -A platform_ips=() platform_regions=()
+declare -A platform_ips=() platform_regions=() platform_upstream_address=()
 
 # platform_role ROLE FIELD: of deploy/system.toml.
 platform_role() {
@@ -125,8 +125,9 @@
         control+=("$(platform_control_address "$name")")
     done
     platform_upstreams=$((${platform_upstreams:-0} + 1))
+    platform_upstream_address[$id]=$fleet_net.$((100 + platform_upstreams)):9000
     "$platform_upstream_program" --id="$id" --role="$role" \
-        --address="$fleet_net.$((100 + platform_upstreams)):9000" \
+        --address="${platform_upstream_address[$id]}" \
         --data_center="$region-a" \
         --control="$(IFS=,; echo "${control[*]}")" "$@" \
         >>"$fleet_dir/$id.log" 2>&1 &
@@ -151,3 +152,48 @@
     curl -sf -m 2 -o /dev/null \
         "http://$(platform_address "$1" 8224)/hyssoploft/readyz"
 }
+
+# platform_desk_manifest VERSION: one open route to the role "desk", whose
+# requests run at most once.
+platform_desk_manifest() {
+    cat <<JSON
+{"version":$1,"routes":[{"name":"orders","host":"desk.example",
+  "path-prefix":"/orders/","kind":"unsafe","timeout-ms":5000,
+  "target-latency-ms":2000,"priority":1,"service":"desk","max-attempts":1,
+  "public":true,"home-regions":[]}],
+ "services":[{"name":"desk","health-path":"/healthz","max-conns":96}],
+ "limits":{"max-header-bytes":16384,"max-body-bytes":4194304,
+  "header-timeout-ms":3000,"idle-timeout-ms":15000}}
+JSON
+}
+
+# platform_order ENTRY ID: the status of one order.
+platform_order() {
+    curl -s -m 8 -o /dev/null -w '%{http_code}' -X POST \
+        -H 'Host: desk.example' -H "Hyssoploft-Request-Id: $2" \
+        -H 'Hyssoploft-Deadline-Ms: 5000' \
+        "http://$(platform_entry_address "$1")/orders/1"
+}
+
+# platform_heartbeat VM ID STATE SEQUENCE BORN: what the upstream ID says of
+# itself to a control VM; the status.
+platform_heartbeat() {
+    local body
+    body="{\"service\":\"desk\",\"address\":\"${platform_upstream_address[$2]}\",\"zone\":\"r1-a\",
+ \"version\":\"v1\",\"slots\":16,\"state\":\"$3\",\"cold-left-ms\":0,\"seq\":$4,
+ \"born\":$5}"
+    curl -s -m 1 -o /dev/null -w '%{http_code}' --data-binary "$body" \
+        "http://$(platform_control_address "$1")/hyssoploft/Instances.Heartbeat/$2"
+}
+
+# platform_deregister VM ID: without a body, as the platform's upstreams send
+# it; the status.
+platform_deregister() {
+    curl -s -m 1 -o /dev/null -w '%{http_code}' -X POST \
+        "http://$(platform_control_address "$1")/hyssoploft/Instances.Deregister/$2"
+}
+
+unix_ms() { date +%s%3N; }
+
+# platform_calls ID: how many calls reached an upstream.
+platform_calls() { grep -c '^call ' "$fleet_dir/$1.log"; }
--- a/Tests/StandIns/platform_upstream.cpp
+++ b/Tests/StandIns/platform_upstream.cpp
@@ -31,6 +31,7 @@
 ABSL_FLAG(std::string, data_center, "", "Data centre.");
 ABSL_FLAG(std::string, role, "", "Upstream role to announce.");
 ABSL_FLAG(int, events, 5, "Events of a stream.");
+ABSL_FLAG(bool, heartbeats, true, "Whether to announce itself.");
 
 namespace {
 
@@ -176,7 +177,11 @@
         return 1;
     }
     (*server)->start();
-    asio::co_spawn(thread->context(), send_heartbeats(*thread), asio::detached);
+    if (absl::GetFlag(FLAGS_heartbeats))
+    {
+        asio::co_spawn(
+            thread->context(), send_heartbeats(*thread), asio::detached);
+    }
     tests::wait_for_signal();
     thread->stop();
     return 0;
