LibControl: Acknowledge a departure when it is committed to the log

All other VMs listed the upstream as serving for 30 s more; orders went to it with all VMs in touch again, and 14 of 24 ended with 502 when it exited.

Cause: the answer left before the control thread had recorded the departure, and the departure was in that process's memory only. A heartbeat with "draining" was answered likewise.

Evidence: with the other control VMs stopped, so that none can know of it, the VM acknowledged the departure all the same.

Change: a departure takes its upstream out of use at once where it arrives, and is acknowledged when it is committed (command_kind::departure, departure_store), or when it is known to be; else the answer is 503 within a second. "draining" follows the same rule. Each control VM hands what it applies, and what it finds in its log when it starts, to upstream_table. Departures end after ten minutes of log time, which the leader's clock measures. proposal_client reports a failure when no further attempt can come in time, instead of 100 ms later. Metrics and a log line show what is kept, forgotten and not recorded.

Why this works: an acknowledged departure is on a majority of disks, and each control VM obeys its log before and after a restart.

--- a/Libraries/LibControl/control_messages.hpp
+++ b/Libraries/LibControl/control_messages.hpp
@@ -37,8 +37,9 @@
     /// evacuation_command, whatever came before it. No longer proposed; logs
     /// of earlier builds contain it.
     evacuation = 5,
-    barrier = 6,          ///< No body: reads the manifest_status in log order.
-    evacuation_change = 7 ///< control::evacuation_change
+    barrier = 6,           ///< No body: reads the manifest_status in log order.
+    evacuation_change = 7, ///< control::evacuation_change
+    departure = 8          ///< departure_command
 };
 
 /// A command as stored in a log entry.
--- a/Libraries/LibControl/control_state_machine.cpp
+++ b/Libraries/LibControl/control_state_machine.cpp
@@ -59,7 +59,8 @@
     }
 };
 
-struct snapshot_body
+// Format of builds without departures. Still written before the first one.
+struct snapshot_without_departures
 {
     snapshot_without_manifests without_manifests;
     manifest_store manifests;
@@ -72,6 +73,18 @@
     }
 };
 
+struct snapshot_body
+{
+    snapshot_without_departures without_departures;
+    departure_store departures;
+
+    template <typename Archive>
+    void serialize(Archive& archive)
+    {
+        archive(without_departures, departures);
+    }
+};
+
 absl::StatusOr<snapshot_body> decode_snapshot(std::string_view bytes)
 {
     auto body = wire::decode<snapshot_body>(bytes);
@@ -80,18 +93,26 @@
         return body;
     }
     snapshot_body out;
+    auto& earlier = out.without_departures;
+    auto without_departures = wire::decode<snapshot_without_departures>(bytes);
+    if (without_departures.ok())
+    {
+        earlier = *std::move(without_departures);
+        return out;
+    }
     auto without_orders =
         wire::decode<snapshot_without_evacuation_orders>(bytes);
     if (without_orders.ok())
     {
-        out.without_manifests = std::move(without_orders->without_manifests);
-        out.manifests = std::move(without_orders->manifests);
+        earlier.without_manifests =
+            std::move(without_orders->without_manifests);
+        earlier.manifests = std::move(without_orders->manifests);
         return out;
     }
     auto without_manifests = wire::decode<snapshot_without_manifests>(bytes);
     if (without_manifests.ok())
     {
-        out.without_manifests = *std::move(without_manifests);
+        earlier.without_manifests = *std::move(without_manifests);
         return out;
     }
     auto oldest_format = wire::decode<snapshot_without_replica_order>(bytes);
@@ -101,9 +122,9 @@
     }
     for (const auto& [id, vm] : oldest_format->replicas)
     {
-        out.without_manifests.replica_order.push_back(id);
+        earlier.without_manifests.replica_order.push_back(id);
     }
-    out.without_manifests.without_replica_order = *std::move(oldest_format);
+    earlier.without_manifests.without_replica_order = *std::move(oldest_format);
     return out;
 }
 
@@ -123,8 +144,11 @@
     {
     case command_kind::resources:
         return resources_.apply(decoded->body);
-    case command_kind::ledger:
-        return ledger_.apply(decoded->body);
+    case command_kind::ledger: {
+        auto result = ledger_.apply(decoded->body);
+        departures_.advance_time(ledger_.time());
+        return result;
+    }
     case command_kind::replica:
         return apply_replica(decoded->body);
     case command_kind::manifest:
@@ -135,6 +159,9 @@
         return manifests_.apply_evacuation_change(decoded->body);
     case command_kind::barrier:
         return wire::encode(manifests_.status());
+    case command_kind::departure:
+        departures_.apply(decoded->body, ledger_.time());
+        return {};
     }
     LOG(ERROR) << "log_command_unknown index=" << index
                << " kind=" << static_cast<int>(decoded->kind);
@@ -186,11 +213,14 @@
 
 std::string control_state_machine::take_snapshot()
 {
-    return wire::encode(snapshot_body{
+    snapshot_without_departures out{
         {{resources_.snapshot(), ledger_.snapshot(), replicas_},
          replica_order_},
         manifests_,
-        manifests_.evacuation_orders()});
+        manifests_.evacuation_orders()};
+    return departures_.is_new()
+               ? wire::encode(out)
+               : wire::encode(snapshot_body{std::move(out), departures_});
 }
 
 absl::Status control_state_machine::install_snapshot(std::string_view bytes)
@@ -205,8 +235,10 @@
     {
         return body.status();
     }
-    auto& without_replica_order = body->without_manifests.without_replica_order;
-    auto& order = body->without_manifests.replica_order;
+    auto& earlier = body->without_departures;
+    auto& without_replica_order =
+        earlier.without_manifests.without_replica_order;
+    auto& order = earlier.without_manifests.replica_order;
     const bool same_replicas =
         without_replica_order.replicas.size() == order.size() &&
         std::all_of(order.begin(), order.end(), [&](auto id) {
@@ -229,8 +261,9 @@
     }
     replicas_ = std::move(without_replica_order.replicas);
     replica_order_ = std::move(order);
-    manifests_ = std::move(body->manifests);
-    manifests_.set_evacuation_orders(std::move(body->evacuation_orders));
+    manifests_ = std::move(earlier.manifests);
+    manifests_.set_evacuation_orders(std::move(earlier.evacuation_orders));
+    departures_ = std::move(body->departures);
     return absl::OkStatus();
 }
 
--- a/Libraries/LibControl/fleet_control.cpp
+++ b/Libraries/LibControl/fleet_control.cpp
@@ -134,6 +134,7 @@
     if (replica_)
     {
         manifest_changed();
+        departures_changed();
     }
     rebuild_view();
     publish();
@@ -209,6 +210,8 @@
         vms_.apply_report(own_vm_row(), now);
         vms_.tick(now);
         upstreams_.tick(now);
+        kept_departures_ = upstreams_.departed().size();
+        forgotten_departures_ = upstreams_.departed().forgotten();
         aggregation_->tick(now);
         send_load_sums();
         if (now >= next_hello_)
--- a/Libraries/LibControl/fleet_control.hpp
+++ b/Libraries/LibControl/fleet_control.hpp
@@ -156,6 +156,19 @@
         return share_holder_;
     }
 
+    /// Departures of upstreams at a control VM.
+    struct departure_counts
+    {
+        std::uint64_t kept = 0;
+        std::uint64_t forgotten = 0;  ///< Since the start, for lack of room.
+        std::uint64_t unrecorded = 0; ///< Not acknowledged since the start.
+    };
+    departure_counts departures() const
+    {
+        return {
+            kept_departures_, forgotten_departures_, unrecorded_departures_};
+    }
+
     /// Whether the replica waits for space on its disk.
     bool is_disk_full() const
     {
@@ -193,6 +206,7 @@
     send_consensus(const std::string& vm, const std::string& bytes) override;
     void resources_changed() override {}
     void manifest_changed() override;
+    void departures_changed() override;
     void role_changed(bool leader, std::uint64_t term) override;
     void disk_full_changed(bool full) override
     {
@@ -317,6 +331,8 @@
     std::shared_ptr<const fleet::suspect_parts> suspect_states_ =
         std::make_shared<fleet::suspect_parts>();
 
+    /// Last departure of the log that upstreams_ was told of.
+    std::uint64_t applied_departure_ = 0;
     fleet::leaving_upstreams own_leaving_; // Seen by this VM itself.
     core::time_point next_leave_notice_{};
 
@@ -357,6 +373,9 @@
     std::atomic<bool> ready_{false};
     std::atomic<bool> leaving_{false};
     std::atomic<bool> disk_full_{false};
+    std::atomic<std::uint64_t> kept_departures_{0};
+    std::atomic<std::uint64_t> forgotten_departures_{0};
+    std::atomic<std::uint64_t> unrecorded_departures_{0};
     std::atomic<bool> failed_{false};
     std::thread thread_;
 };
--- a/Libraries/LibControl/fleet_control_leaving.cpp
+++ b/Libraries/LibControl/fleet_control_leaving.cpp
@@ -21,6 +21,8 @@
 /// started may list the upstream as serving again: reports are repeated until
 /// the view shows that they are known.
 constexpr std::chrono::milliseconds leave_notice_interval{1000};
+/// Shorter than the second after which upstreams ask another control VM.
+constexpr std::chrono::milliseconds departure_timeout{900};
 
 } // namespace
 
@@ -37,11 +39,50 @@
 void fleet_control::record_departure(fleet::departure it, record_handler done)
 {
     boost::asio::post(io_, [this, it = std::move(it), done = std::move(done)] {
+        // At once: other VMs hear of it before it is committed, and also if
+        // this side of a partition can't commit it.
         apply_departure(it, options_.vm);
-        done(absl::OkStatus());
+        const bool is_committed =
+            replica_ && replica_->state().departures().items().contains(
+                            it.upstream, it.incarnation);
+        if (is_committed)
+        {
+            done(absl::OkStatus());
+            return;
+        }
+        proposals_->propose(
+            command_kind::departure, wire::encode(departure_command{it, 0}),
+            departure_timeout,
+            [this, it, done](const absl::StatusOr<std::string>& result) {
+                if (!result.ok())
+                {
+                    ++unrecorded_departures_;
+                    LOG_EVERY_N(WARNING, 20)
+                        << core::log_line("departure_not_recorded")
+                               .with("upstream", it.upstream)
+                               .with("incarnation", it.incarnation)
+                               .with("error", result.status().ToString());
+                }
+                done(result.status());
+            });
     });
 }
 
+void fleet_control::departures_changed()
+{
+    const auto& known = replica_->state().departures().items();
+    // An earlier build's snapshot has none.
+    if (known.last_number() < applied_departure_)
+    {
+        applied_departure_ = 0;
+    }
+    for (const auto& row : known.rows_after(applied_departure_))
+    {
+        apply_departure(row.left, "log");
+    }
+    applied_departure_ = known.last_number();
+}
+
 void fleet_control::apply_departure(
     const fleet::departure& it, const std::string& seen_by)
 {
--- a/Libraries/LibControl/proposal_client.cpp
+++ b/Libraries/LibControl/proposal_client.cpp
@@ -177,6 +177,11 @@
 void proposal_client::schedule_retry(const std::shared_ptr<proposal_state>& it)
 {
     it->next_attempt_at = clock_.now() + retry_delay;
+    if (it->next_attempt_at >= it->deadline)
+    {
+        report_failure(it);
+        return;
+    }
     retry_queue_.push_back(it);
 }
 
--- a/Libraries/LibControl/replica_driver.cpp
+++ b/Libraries/LibControl/replica_driver.cpp
@@ -18,8 +18,8 @@
 
 /// Replacing a replica takes about five checks.
 constexpr std::chrono::milliseconds membership_check_interval{200};
-/// Order records expire by log time, which advances at this interval when there
-/// is no traffic.
+/// Order records and departures expire by log time, which advances at this
+/// interval when there is no traffic.
 constexpr std::chrono::seconds log_tick_interval{30};
 constexpr std::size_t max_pending_proposals = 8192;
 
@@ -144,9 +144,11 @@
 void replica_driver::propose(
     command_kind kind, std::string body, propose_handler done)
 {
-    // Ledger commands need log time, which a new leader has only once it has
+    // Some commands need log time, which a new leader has only once it has
     // applied the entries of earlier terms.
-    const bool ready = kind != command_kind::ledger || log_clock_.has_value();
+    const bool needs_time =
+        kind == command_kind::ledger || kind == command_kind::departure;
+    const bool ready = !needs_time || log_clock_.has_value();
     if (!is_leader() || !ready)
     {
         done(
@@ -170,6 +172,10 @@
     {
         body = ledger::stamp(std::move(body), log_clock_->at(clock_.now()));
     }
+    else if (kind == command_kind::departure)
+    {
+        body = stamp_departure(std::move(body), log_clock_->at(clock_.now()));
+    }
     const auto position = node_->propose(wire::encode(
         log_command{static_cast<std::uint8_t>(kind), std::move(body)}));
     if (!position.ok())
@@ -238,6 +244,7 @@
             compaction_.compacted(out.install->bytes->size());
             environment_.resources_changed();
             environment_.manifest_changed();
+            environment_.departures_changed();
         }
         if (out.persist)
         {
@@ -367,6 +374,7 @@
     {
         const auto before = state_.resources().version();
         const auto manifest = state_.manifests().status();
+        const auto departure = state_.departures().items().last_number();
         result = state_.apply(entry.position.index, entry.bytes);
         if (state_.resources().version() != before)
         {
@@ -376,13 +384,17 @@
         {
             environment_.manifest_changed();
         }
+        if (state_.departures().items().last_number() != departure)
+        {
+            environment_.departures_changed();
+        }
     }
     applied_index_ = entry.position.index;
     compaction_.add_entry(entry.bytes.size());
     // First entry of this replica's term: all earlier entries are applied.
     if (entry.position.term == leading_term_ && !log_clock_)
     {
-        log_clock_.emplace(state_.records().time(), clock_.now());
+        log_clock_.emplace(state_.time(), clock_.now());
     }
     const auto found = pending_.find(entry.position.index);
     if (found == pending_.end())
@@ -485,7 +497,7 @@
         return;
     }
     next_log_tick_ = now + log_tick_interval;
-    if (state_.records().size() > 0)
+    if (state_.has_expiries())
     {
         propose(
             command_kind::ledger,
--- a/Libraries/LibControl/replica_driver.hpp
+++ b/Libraries/LibControl/replica_driver.hpp
@@ -54,6 +54,9 @@
     /// A committed entry changed the manifest or the evacuations.
     virtual void manifest_changed() {}
 
+    /// A committed entry recorded the departure of an upstream.
+    virtual void departures_changed() {}
+
     virtual void role_changed(bool leader, std::uint64_t term) = 0;
 
     /// The disk ran out of space, or has space again.
--- a/Libraries/LibControl/upstream_departures.hpp
+++ b/Libraries/LibControl/upstream_departures.hpp
@@ -34,7 +34,8 @@
 
     using record_handler = std::function<void(absl::Status)>;
     /// Takes the incarnation and earlier ones out of use. OK once the departure
-    /// is known wherever it is needed to hold.
+    /// is committed; UNAVAILABLE or DEADLINE_EXCEEDED if it may get lost with
+    /// this VM.
     virtual void record_departure(fleet::departure it, record_handler done) = 0;
 };
 
--- a/Libraries/LibFleet/departed_upstreams.cpp
+++ b/Libraries/LibFleet/departed_upstreams.cpp
@@ -14,10 +14,7 @@
     {
         return false;
     }
-    auto& stored = entries_[it.upstream];
-    order_.erase(stored.number);
-    stored = {it.incarnation, now, ++last_number_};
-    order_.emplace(stored.number, it.upstream);
+    insert({it, now.count(), ++last_number_});
     if (entries_.size() > max_upstreams)
     {
         LOG_EVERY_N(WARNING, 100)
@@ -54,6 +51,41 @@
     }
 }
 
+std::vector<departed_upstreams::row>
+departed_upstreams::rows_after(std::uint64_t number) const
+{
+    std::vector<row> out;
+    for (auto it = order_.upper_bound(number); it != order_.end(); ++it)
+    {
+        const auto& stored = entries_.at(it->second);
+        out.push_back(
+            {{it->second, stored.incarnation},
+             stored.added_at.count(),
+             stored.number});
+    }
+    return out;
+}
+
+void departed_upstreams::restore(
+    const std::vector<row>& rows, std::uint64_t last_number)
+{
+    entries_.clear();
+    order_.clear();
+    for (const auto& it : rows)
+    {
+        insert(it);
+    }
+    last_number_ = last_number;
+}
+
+void departed_upstreams::insert(const row& it)
+{
+    auto& stored = entries_[it.left.upstream];
+    order_.erase(stored.number);
+    stored = {it.left.incarnation, time(it.added_at_ms), it.number};
+    order_.emplace(stored.number, it.left.upstream);
+}
+
 void departed_upstreams::remove_first()
 {
     entries_.erase(order_.begin()->second);
--- a/Libraries/LibFleet/departed_upstreams.hpp
+++ b/Libraries/LibFleet/departed_upstreams.hpp
@@ -56,6 +56,32 @@
         return entries_.size();
     }
 
+    /// A departure that is kept.
+    struct row
+    {
+        departure left;
+        std::int64_t added_at_ms = 0;
+        std::uint64_t number = 0; ///< Rises with each departure added.
+
+        template <typename Archive>
+        void serialize(Archive& archive)
+        {
+            archive(left, added_at_ms, number);
+        }
+    };
+
+    /// Those with a higher number than `number`, oldest first.
+    std::vector<row> rows_after(std::uint64_t number) const;
+
+    /// Of the last departure added; 0 before the first one.
+    std::uint64_t last_number() const
+    {
+        return last_number_;
+    }
+
+    /// Replaces the content by rows in the order of their numbers.
+    void restore(const std::vector<row>& rows, std::uint64_t last_number);
+
     /// Number of departures forgotten before the end of `retention`.
     std::uint64_t forgotten() const
     {
@@ -76,6 +102,7 @@
     };
 
     void remove_first();
+    void insert(const row& it);
 
     std::map<std::string, entry> entries_;       // At most max_upstreams.
     std::map<std::uint64_t, std::string> order_; // Oldest first.
--- a/Libraries/LibFleet/upstream_table.hpp
+++ b/Libraries/LibFleet/upstream_table.hpp
@@ -86,6 +86,11 @@
         return entries_;
     }
 
+    const departed_upstreams& departed() const
+    {
+        return departed_;
+    }
+
     /// Three announcement periods: tolerates one lost and one late
     /// announcement.
     static constexpr core::duration silence_timeout =
--- a/Services/hyssoploft/fleet_process.cpp
+++ b/Services/hyssoploft/fleet_process.cpp
@@ -80,13 +80,16 @@
 {
 public:
     metrics_page(
-        telemetry::metrics& from, std::shared_ptr<core::memory_account> account)
-        : from_(from), account_(std::move(account))
+        telemetry::metrics& from, std::shared_ptr<core::memory_account> account,
+        std::shared_ptr<control::fleet_control> control)
+        : from_(from), account_(std::move(account)),
+          control_(std::move(control))
     {}
 
     http::asio::awaitable<void> handle(http::exchange& it) override
     {
         update();
+        update_departures();
         http::response out(http::bhttp::status::ok, 11);
         out.set(http::bhttp::field::content_type, "text/plain; version=0.0.4");
         out.body() = from_.to_text();
@@ -114,8 +117,23 @@
             .add(refused - std::exchange(refused_, refused));
     }
 
+    void update_departures()
+    {
+        const auto now = control_->departures();
+        from_.get_gauge("hyssoploft_departed_upstreams")
+            .set(static_cast<double>(now.kept));
+        from_.get_counter("hyssoploft_departures_forgotten_total")
+            .add(now.forgotten - departures_.forgotten);
+        from_.get_counter("hyssoploft_departures_not_recorded_total")
+            .add(now.unrecorded - departures_.unrecorded);
+        departures_ = now;
+    }
+
     telemetry::metrics& from_;
     const std::shared_ptr<core::memory_account> account_; // May be null.
+    const std::shared_ptr<control::fleet_control> control_;
+    control::fleet_control::departure_counts
+        departures_;           // As counted in from_.
     std::uint64_t closed_ = 0; // Counted in from_, as the next one.
     std::uint64_t refused_ = 0;
 };
@@ -200,7 +218,8 @@
     {
         auto status = add_server(
             address_of(settings_.ip, options.metrics_port),
-            std::make_shared<metrics_page>(metrics_, account_), account_);
+            std::make_shared<metrics_page>(metrics_, account_, control_),
+            account_);
         if (!status.ok())
         {
             return status;
--- a/Tests/LibControl/control_state_machine.cpp
+++ b/Tests/LibControl/control_state_machine.cpp
@@ -63,6 +63,31 @@
         ledger::stamp(ledger::encode_command(ledger::begin_command{it}), 1000));
 }
 
+std::string departure(
+    const std::string& upstream, std::uint64_t incarnation, std::uint64_t time)
+{
+    return command(
+        command_kind::departure, wire::encode(control::departure_command{
+                                     {upstream, incarnation}, time}));
+}
+
+/// Advances log time.
+std::string tick(std::uint64_t time)
+{
+    return command(
+        command_kind::ledger,
+        ledger::stamp(ledger::encode_command(ledger::tick_command{}), time));
+}
+
+bool has_departed(
+    const control_state_machine& it, const std::string& upstream,
+    std::uint64_t incarnation)
+{
+    return it.departures().items().contains(upstream, incarnation);
+}
+
+constexpr std::uint64_t minute_ms = 60'000;
+
 } // namespace
 
 TEST_CASE("a restored snapshot equals the state that it was taken from")
@@ -70,7 +95,9 @@
     control_state_machine first;
     std::uint64_t index = 0;
     for (const auto& it :
-         {account("shop"), replica(7, "v1"), begin("a"), replica(3, "v2")})
+         {account("shop"), replica(7, "v1"), begin("a"), replica(3, "v2"),
+          departure("u", 5, 2000), departure("v", 5, 3000),
+          departure("u", 6, 4000)})
     {
         first.apply(++index, it);
     }
@@ -82,11 +109,16 @@
     CHECK(second.take_snapshot() == snapshot);
     CHECK(second.replicas() == first.replicas());
     CHECK(second.records().size() == 1);
+    CHECK(has_departed(second, "u", 6));
+    CHECK_FALSE(has_departed(second, "u", 7));
+    CHECK(has_departed(second, "v", 5));
     CHECK(second.resources().version() == first.resources().version());
 
     // Both continue identically, including their answers to resent commands.
     for (const auto& it :
-         {account("shop"), begin("a"), begin("b"), replica(8, "v1")})
+         {account("shop"), begin("a"), begin("b"), replica(8, "v1"),
+          departure("w", 1, 4000), departure("u", 6, 4000),
+          tick(2000 + 10 * minute_ms), departure("x", 1, 0)})
     {
         ++index;
         CHECK(first.apply(index, it) == second.apply(index, it));
@@ -118,6 +150,7 @@
         {"malformed batch", command(command_kind::resources, "x")},
         {"malformed record", command(command_kind::ledger, "x")},
         {"malformed replica", command(command_kind::replica, "x")},
+        {"malformed departure", command(command_kind::departure, "x")},
     };
     for (const auto& it : table)
     {
@@ -128,6 +161,7 @@
         const auto replicas = machine.replicas();
         const auto records = machine.records().size();
         machine.apply(2, it.bytes);
+        CHECK(machine.departures().is_new());
         CHECK(machine.resources().version() == version);
         CHECK(machine.replicas() == replicas);
         CHECK(machine.records().size() == records);
@@ -204,6 +238,52 @@
     CHECK_FALSE(to.install_snapshot(older + "x").ok());
 }
 
+// Guards against control VMs of two builds that can't read each other's data.
+TEST_CASE("snapshots before the first departure have the earlier format")
+{
+    control_state_machine from;
+    from.apply(1, account("shop"));
+    from.apply(2, replica(7, "v1"));
+    const auto earlier = from.take_snapshot();
+    from.apply(3, departure("u", 5, 1000));
+    const auto later = from.take_snapshot();
+    CHECK(later.substr(0, earlier.size()) == earlier);
+    CHECK(later.size() > earlier.size());
+    control_state_machine to;
+    REQUIRE(to.install_snapshot(later).ok());
+    CHECK(has_departed(to, "u", 5));
+    // That of an earlier build, which skipped the departure.
+    REQUIRE(to.install_snapshot(earlier).ok());
+    CHECK_FALSE(has_departed(to, "u", 5));
+    CHECK(to.take_snapshot() == earlier);
+    CHECK_FALSE(to.install_snapshot(later + "x").ok());
+    CHECK_FALSE(to.install_snapshot(later.substr(0, later.size() - 1)).ok());
+}
+
+TEST_CASE("a departure ends by the time of the log")
+{
+    control_state_machine machine;
+    std::uint64_t index = 0;
+    machine.apply(++index, departure("u", 5, 1000));
+    machine.apply(++index, departure("v", 5, 1000 + minute_ms));
+    CHECK(machine.has_expiries());
+    CHECK(machine.time() == 1000 + minute_ms);
+    machine.apply(++index, tick(1000 + 10 * minute_ms));
+    CHECK(has_departed(machine, "u", 5));
+    machine.apply(++index, tick(1001 + 10 * minute_ms));
+    CHECK_FALSE(has_departed(machine, "u", 5));
+    CHECK(has_departed(machine, "v", 5));
+    // A leader of an earlier build sets no time, and none goes back.
+    machine.apply(++index, departure("w", 5, 0));
+    CHECK(machine.time() == 1001 + 10 * minute_ms);
+    machine.apply(++index, tick(1001 + 11 * minute_ms));
+    CHECK_FALSE(has_departed(machine, "v", 5));
+    CHECK(has_departed(machine, "w", 5));
+    machine.apply(++index, departure("x", 5, 1002 + 20 * minute_ms));
+    CHECK_FALSE(has_departed(machine, "w", 5));
+    CHECK(has_departed(machine, "x", 5));
+}
+
 TEST_CASE("a recorded replica can move to another VM")
 {
     control_state_machine machine;
--- a/Tests/LibControl/proposal_client.cpp
+++ b/Tests/LibControl/proposal_client.cpp
@@ -172,6 +172,25 @@
     CHECK(t.transport.requests.front().timeout == 100ms);
 }
 
+// Guards against callers that wait for an attempt that is never made.
+TEST_CASE("a command fails as soon as its next attempt would be too late")
+{
+    client_under_test t;
+    t.propose();
+    for (int n = 0; n < 49; ++n)
+    {
+        t.answer(propose_status::not_leader, "");
+        t.pass(100ms);
+    }
+    CHECK(t.calls == 0);
+    t.clock.advance(1ms);
+    t.answer(propose_status::not_leader, "");
+    CHECK(t.calls == 1);
+    CHECK(t.result.status().code() == absl::StatusCode::kUnavailable);
+    t.pass(10s);
+    CHECK(t.calls == 1);
+}
+
 TEST_CASE("a hint is followed, a failed or dead leader gets no more requests")
 {
     client_under_test t;
--- a/Tests/LibControl/replica_driver.cpp
+++ b/Tests/LibControl/replica_driver.cpp
@@ -25,6 +25,10 @@
         ++messages;
     }
     void resources_changed() override {}
+    void departures_changed() override
+    {
+        ++departures;
+    }
     void role_changed(bool leader, std::uint64_t) override
     {
         leads = leader;
@@ -39,6 +43,7 @@
     }
 
     int messages = 0;
+    int departures = 0;
     bool leads = false;
     std::vector<bool> full_changes;
     absl::Status failure;
@@ -96,6 +101,25 @@
         return out;
     }
 
+    std::shared_ptr<std::vector<propose_status>>
+    propose_departure(const fleet::departure& it)
+    {
+        auto out = std::make_shared<std::vector<propose_status>>();
+        driver->propose(
+            control::command_kind::departure,
+            wire::encode(control::departure_command{it, 0}),
+            [out](const propose_result& result) {
+                out->push_back(static_cast<propose_status>(result.status));
+            });
+        return out;
+    }
+
+    bool has_departed(const fleet::departure& it) const
+    {
+        return driver->state().departures().items().contains(
+            it.upstream, it.incarnation);
+    }
+
     std::uint64_t version() const
     {
         return driver->state().manifests().status().version;
@@ -217,3 +241,61 @@
     CHECK_FALSE(vm.environment.failure.ok());
     CHECK(vm.environment.full_changes.empty());
 }
+
+// An acknowledged departure was lost with the process that had taken it
+// (review/12).
+TEST_CASE("a committed departure survives the loss of power")
+{
+    tests::fake_file_system files(1);
+    const fleet::departure left{"u", 5};
+    {
+        control_vm vm(files);
+        vm.run(5s);
+        const auto done = vm.propose_departure(left);
+        CHECK(done->empty());
+        vm.run(1s);
+        REQUIRE_EQ(*done, statuses{propose_status::committed});
+        CHECK(vm.has_departed(left));
+        CHECK_EQ(vm.environment.departures, 1);
+    }
+    files.restart();
+    control_vm vm(files);
+    REQUIRE(vm.status.ok());
+    vm.run(5s);
+    REQUIRE(vm.environment.leads);
+    CHECK(vm.has_departed(left));
+    CHECK_FALSE(vm.has_departed({"u", 6}));
+    CHECK_EQ(vm.environment.departures, 1);
+}
+
+TEST_CASE("a departure is not committed before it is on the disk")
+{
+    tests::fake_file_system files(1);
+    control_vm vm(files);
+    vm.run(5s);
+    files.is_full = true;
+    const auto done = vm.propose_departure({"u", 5});
+    vm.finish_write();
+    CHECK_EQ(*done, statuses{propose_status::lost});
+    CHECK_FALSE(vm.has_departed({"u", 5}));
+}
+
+TEST_CASE("a departure ends by the time of the log, across restarts")
+{
+    tests::fake_file_system files(1);
+    const fleet::departure left{"u", 5};
+    {
+        control_vm vm(files);
+        vm.run(5s);
+        vm.propose_departure(left);
+        vm.run(300s);
+        CHECK(vm.has_departed(left));
+    }
+    files.restart();
+    control_vm vm(files);
+    vm.run(240s);
+    CHECK(vm.has_departed(left));
+    // Log time advances every 30 s, and stands still without a leader.
+    vm.run(150s);
+    CHECK_FALSE(vm.has_departed(left));
+}
