LibMembership: Keep the leave of a later incarnation than the known one

An upstream that started again and left before its new announcement reached the VM that it told got 200, while upstream_registry::leave answered NOT_FOUND, which is only logged. The announcement, which arrived later, put the upstream into use.

Change: only a leave of an earlier incarnation than the known one has no effect. One of a later incarnation replaces the known one, as it does when it comes by gossip.

--- a/Libraries/LibMembership/upstream_registry.cpp
+++ b/Libraries/LibMembership/upstream_registry.cpp
@@ -168,12 +168,12 @@
     const std::string& id, std::uint64_t incarnation, core::time_point now)
 {
     const auto* known = find(id);
-    if (known != nullptr && known->record.incarnation != incarnation)
+    if (known != nullptr && known->record.incarnation > incarnation)
     {
-        return absl::NotFoundError("no such incarnation");
+        return absl::NotFoundError("a later incarnation is known");
     }
     upstream_update update;
-    if (known != nullptr)
+    if (known != nullptr && known->record.incarnation == incarnation)
     {
         update = update_of(*known, true);
     }
--- a/Libraries/LibMembership/upstream_registry.hpp
+++ b/Libraries/LibMembership/upstream_registry.hpp
@@ -50,8 +50,8 @@
     absl::Status announce(const upstream_record& it, core::time_point now);
 
     /// Marks an incarnation as leaving. This is final, also if its announcement
-    /// has not arrived here yet. NOT_FOUND if the upstream is known under
-    /// another incarnation, RESOURCE_EXHAUSTED if the registry is full.
+    /// has not arrived here yet. NOT_FOUND if a later incarnation is known,
+    /// RESOURCE_EXHAUSTED if the registry is full.
     absl::Status leave(
         const std::string& id, std::uint64_t incarnation, core::time_point now);
 
