LibControl, LibGateway: Acknowledge a leave when it is committed to the log

Change: control_plane::leave takes the upstream out of use and gossips that at once, as before, and reports OK when the departure is in the log; else the answer is 503 (no_quorum) within a second. A control VM compares the upstreams that it hears of with the departures of its log, every second and when one is committed; departures of unknown upstreams don't enter the bounded registry.

--- a/Libraries/LibControl/control_plane.cpp
+++ b/Libraries/LibControl/control_plane.cpp
@@ -232,6 +232,10 @@
 void control_plane::run_every_second()
 {
     send_hello();
+    if (replica_)
+    {
+        apply_departures();
+    }
     commit_withdrawals();
     publish_withdrawals();
     ledger_service_->expire();
--- a/Libraries/LibControl/control_plane.hpp
+++ b/Libraries/LibControl/control_plane.hpp
@@ -72,7 +72,9 @@
     void announce(membership::upstream_record record) override;
     void report_load(
         const std::string& upstream, membership::load_report report) override;
-    void leave(const std::string& upstream, std::uint64_t incarnation) override;
+    void leave(
+        const std::string& upstream, std::uint64_t incarnation,
+        leave_handler done) override;
     void set_overloaded(bool overloaded) override;
 
     /// For the gateway; both live as long as this object.
@@ -155,6 +157,10 @@
     void
     send_consensus(const std::string& vm, const std::string& bytes) override;
     void resources_changed() override;
+    void departures_changed() override
+    {
+        apply_departures();
+    }
     void role_changed(bool leader, std::uint64_t term) override;
     void storage_failed(const absl::Status& status) override;
 
@@ -170,6 +176,9 @@
     void flush_membership();
     void write_audit();
     void send_hello();
+    /// Marks upstreams as leaving whose departure is in the log, whenever this
+    /// VM hears of them.
+    void apply_departures();
     void commit_withdrawals();
     void configuration_installed();
     void publish_fleet();
--- a/Libraries/LibControl/control_plane_requests.cpp
+++ b/Libraries/LibControl/control_plane_requests.cpp
@@ -87,13 +87,46 @@
 }
 
 void control_plane::leave(
-    const std::string& upstream, std::uint64_t incarnation)
+    const std::string& upstream, std::uint64_t incarnation, leave_handler done)
 {
-    boost::asio::post(io_, [this, upstream, incarnation] {
+    boost::asio::post(
+        io_, [this, left = fleet::departure{upstream, incarnation},
+              done = std::move(done)] {
+            // At once: its side of a partition hears of it, too.
+            log_failure(
+                "leave_rejected",
+                fleet_member_->leave(
+                    left.upstream, left.incarnation, clock_->now()));
+            flush_membership();
+            proposals_->propose(
+                command_kind::departure, wire::encode(departure_command{left}),
+                departure_timeout,
+                [done](const absl::StatusOr<std::string>& result) {
+                    log_failure("departure_not_recorded", result.status());
+                    done(result.status());
+                });
+        });
+}
+
+void control_plane::apply_departures()
+{
+    const auto& departed = replica_->state().departures().items();
+    std::vector<fleet::departure> left;
+    for (const auto& [id, it] : fleet_member_->upstreams().entries())
+    {
+        const bool serves =
+            it.record.state == membership::upstream_state::serving;
+        if (serves && departed.contains(id, it.record.incarnation))
+        {
+            left.push_back({id, it.record.incarnation});
+        }
+    }
+    for (const auto& it : left)
+    {
         log_failure(
             "leave_rejected",
-            fleet_member_->leave(upstream, incarnation, clock_->now()));
-    });
+            fleet_member_->leave(it.upstream, it.incarnation, clock_->now()));
+    }
 }
 
 void control_plane::set_overloaded(bool overloaded)
--- a/Libraries/LibControl/departure_store.hpp
+++ b/Libraries/LibControl/departure_store.hpp
@@ -12,6 +12,7 @@
 #include <cereal/types/string.hpp>
 #include <cereal/types/vector.hpp>
 
+#include <chrono>
 #include <cstdint>
 #include <string>
 #include <string_view>
@@ -19,6 +20,9 @@
 
 namespace hyssoploft::control {
 
+/// Shorter than the second after which upstreams ask another control VM.
+inline constexpr std::chrono::milliseconds departure_timeout{900};
+
 /// Records the departure of an incarnation of an upstream and of earlier ones.
 struct departure_command
 {
--- a/Libraries/LibControl/fleet_control_leaving.cpp
+++ b/Libraries/LibControl/fleet_control_leaving.cpp
@@ -21,8 +21,6 @@
 /// started may list the upstream as serving again: reports are repeated until
 /// the view shows that they are known.
 constexpr std::chrono::milliseconds leave_notice_interval{1000};
-/// Shorter than the second after which upstreams ask another control VM.
-constexpr std::chrono::milliseconds departure_timeout{900};
 
 } // namespace
 
--- a/Libraries/LibGateway/control_view.hpp
+++ b/Libraries/LibGateway/control_view.hpp
@@ -7,7 +7,10 @@
 #include <LibMembership/fleet_view.hpp>
 #include <LibResource/configuration.hpp>
 
+#include <absl/status/status.h>
+
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <string>
 #include <vector>
@@ -37,9 +40,13 @@
     virtual void report_load(
         const std::string& upstream, membership::load_report report) = 0;
 
-    /// Deregisters an upstream, which then receives no new calls.
-    virtual void
-    leave(const std::string& upstream, std::uint64_t incarnation) = 0;
+    using leave_handler = std::function<void(absl::Status)>;
+    /// Deregisters an upstream, which then receives no new calls. OK once that
+    /// is committed to the log; UNAVAILABLE or DEADLINE_EXCEEDED if it may get
+    /// lost with this VM. `done` may run on another thread.
+    virtual void leave(
+        const std::string& upstream, std::uint64_t incarnation,
+        leave_handler done) = 0;
 
     /// Publishes in the directory of entry VMs whether this VM is overloaded.
     virtual void set_overloaded(bool overloaded) = 0;
--- a/Libraries/LibGateway/gateway.cpp
+++ b/Libraries/LibGateway/gateway.cpp
@@ -124,7 +124,8 @@
     const auto target = target_of(it);
     if (target.substr(0, upstream_api_prefix.size()) == upstream_api_prefix)
     {
-        (void)co_await it.respond(answer_upstream(*services_, it));
+        auto answer = co_await answer_upstream(*services_, it);
+        (void)co_await it.respond(std::move(answer));
         co_return;
     }
     if (auto page = answer_page(*services_, it, ready_))
--- a/Libraries/LibGateway/upstream_api.cpp
+++ b/Libraries/LibGateway/upstream_api.cpp
@@ -5,6 +5,7 @@
 #include <LibCore/findings.hpp>
 #include <LibCore/keyed_hash.hpp>
 #include <LibCore/text.hpp>
+#include <LibGateway/await_callback.hpp>
 #include <LibHttp/connection_pool.hpp>
 #include <LibHttp/header_policy.hpp>
 
@@ -271,12 +272,13 @@
     return accepted_response({});
 }
 
-http::response handle_leave(gateway_services& services, const std::string& body)
+http::asio::awaitable<http::response>
+handle_leave(gateway_services& services, http::exchange& it)
 {
-    const auto object = parse_object(body);
+    const auto object = parse_object(it.message().body());
     if (!object.ok())
     {
-        return rejected_response(object.status());
+        co_return rejected_response(object.status());
     }
     core::findings found;
     field_reader in(*object, found);
@@ -284,10 +286,17 @@
     const auto incarnation = in.integer("incarnation", 0, INT64_MAX, true);
     if (!found.empty())
     {
-        return rejected_response(found.to_status());
+        co_return rejected_response(found.to_status());
     }
-    services.control->leave(upstream, static_cast<std::uint64_t>(incarnation));
-    return accepted_response({});
+    const auto status =
+        co_await await_callback<absl::Status>(it.executor(), [&](auto done) {
+            services.control->leave(
+                upstream, static_cast<std::uint64_t>(incarnation), done);
+        });
+    co_return status.ok()
+        ? accepted_response({})
+        : to_response(make_refusal(
+              refusal_reason::no_quorum, "the departure is not committed yet"));
 }
 
 } // namespace
@@ -342,15 +351,15 @@
     return out;
 }
 
-http::response
-answer_upstream(gateway_services& services, const http::exchange& it)
+http::asio::awaitable<http::response>
+answer_upstream(gateway_services& services, http::exchange& it)
 {
     const auto& message = it.message();
     if (!services.upstream_token.empty() &&
         !core::equal_constant_time(
             http::caller_key(message), services.upstream_token))
     {
-        return to_response(make_refusal(
+        co_return to_response(make_refusal(
             refusal_reason::unknown_key,
             "upstreams need the announcement token"));
     }
@@ -361,22 +370,22 @@
     {
         if (action == "announce")
         {
-            return handle_announcement(services, message.body());
+            co_return handle_announcement(services, message.body());
         }
         if (action == "load")
         {
-            return handle_load_report(services, message.body());
+            co_return handle_load_report(services, message.body());
         }
         if (action == "cache-events")
         {
-            return handle_cache_events(services, message.body());
+            co_return handle_cache_events(services, message.body());
         }
         if (action == "leave")
         {
-            return handle_leave(services, message.body());
+            co_return co_await handle_leave(services, it);
         }
     }
-    return to_response(make_refusal(
+    co_return to_response(make_refusal(
         refusal_reason::unknown_route, "there is no such upstream request"));
 }
 
--- a/Libraries/LibGateway/upstream_api.hpp
+++ b/Libraries/LibGateway/upstream_api.hpp
@@ -15,8 +15,8 @@
 inline constexpr std::string_view upstream_api_prefix = "/upstreams/v1/";
 
 /// Answers a POST below upstream_api_prefix.
-http::response
-answer_upstream(gateway_services& services, const http::exchange& it);
+http::asio::awaitable<http::response>
+answer_upstream(gateway_services& services, http::exchange& it);
 
 /// Parses the JSON of an announcement. INVALID_ARGUMENT lists all fields that
 /// are missing or invalid.
--- a/Tests/LibGateway/fakes.hpp
+++ b/Tests/LibGateway/fakes.hpp
@@ -63,11 +63,13 @@
         });
     }
 
-    void leave(const std::string& upstream, std::uint64_t) override
+    void leave(
+        const std::string& upstream, std::uint64_t, leave_handler done) override
     {
-        state_.with([&] {
+        done(state_.with([&] {
             left.push_back(upstream);
-        });
+            return leave_result;
+        }));
     }
 
     void set_overloaded(bool) override {}
@@ -100,6 +102,7 @@
     std::vector<membership::upstream_record> announced;
     std::vector<std::pair<std::string, membership::load_report>> loads;
     std::vector<std::string> left;
+    absl::Status leave_result;
 
 private:
     monitor& state_;
--- a/Tests/LibGateway/upstream_api.cpp
+++ b/Tests/LibGateway/upstream_api.cpp
@@ -111,6 +111,19 @@
     CHECK_EQ(it.control->left.size(), 1);
 }
 
+// Guards against an upstream that exits because its departure was acknowledged
+// by a VM that is then lost with it.
+TEST_CASE("a departure that is not committed is not acknowledged")
+{
+    gateway_fixture it;
+    it.control->leave_result = absl::UnavailableError("no leader");
+    const auto got = it.call(request_text(
+        "POST", "/upstreams/v1/leave", R"({"id":"e","incarnation":1})", ""));
+    CHECK_EQ(got.status, 503);
+    CHECK(got.body.find("no_quorum") != std::string::npos);
+    CHECK_EQ(it.control->left.size(), 1);
+}
+
 // Guards against an age out of the range of a duration, which x86-64 takes for
 // a report from the future.
 TEST_CASE("a report of any age counts as received after its measurement")
