--- a/Tests/platform/upstream_announcement.cpp
+++ b/Tests/platform/upstream_announcement.cpp
@@ -60,7 +60,18 @@
         {"\"seq\":4", "\"seq\":-4"},
         {"\"seq\":4,", ""},
         {"\"slots\":64", "\"slots\":\"many\""},
-        {"1700000000123}", "17.5}"}};
+        {"1700000000123}", "17.5}"},
+        // Without these an entry replaced a sound one (review/14).
+        {"\"address\":\"10.0.0.9:8080\",", ""},
+        {"\"zone\":\"east-a\",", ""},
+        {"\"version\":\"v1\",", ""},
+        {"\"version\":\"v1\"", "\"version\":null"},
+        {"\"slots\":64,", ""},
+        {"\"slots\":64", "\"slots\":null"},
+        {"\"state\":\"ready\",", ""},
+        {"\"cold-left-ms\":0,", ""},
+        {"\"cold-left-ms\":0", "\"cold-left-ms\":null"},
+        {"\"cold-left-ms\":0", "\"cold-left-ms\":\"0\""}};
     for (const auto& it : cases)
     {
         CAPTURE(it.to);
