LibFleet: Let an entry of an unknown role replace no upstream in use

An entry that names a service which no configuration has names no worker to use, and the others hold (PROTOCOL.md). A complete heartbeat of such a service, under the identifier of a sound upstream and with a later start or sequence, replaced its row: the upstream got no request, and its own heartbeats were older ones.

Change: a row of a role that the manifest names is replaced, or advanced to leaving, only by one of such a role, from the upstream or from another control VM. Departures of rows are recorded only when the row is stored.

Measured: "an entry of an unknown role replaces none of a known role" failed 5 of its checks before the change and passes; test_libfleet 51 of 51 cases.

--- a/Libraries/LibFleet/upstream_table.cpp
+++ b/Libraries/LibFleet/upstream_table.cpp
@@ -2,8 +2,11 @@
 
 #include <LibFleet/upstream_table.hpp>
 
+#include <LibCore/log_line.hpp>
 #include <LibFleet/row_checks.hpp>
 
+#include <glog/logging.h>
+
 #include <algorithm>
 #include <tuple>
 
@@ -54,6 +57,20 @@
         });
 }
 
+bool upstream_table::may_replace(
+    const upstream_row& old, const upstream_row& it) const
+{
+    if (!is_named_role(old.role) || is_named_role(it.role))
+    {
+        return true;
+    }
+    LOG_EVERY_N(WARNING, 20) << core::log_line("announcement_ignored")
+                                    .with("upstream", it.id)
+                                    .with("role", it.role)
+                                    .with("role_in_use", old.role);
+    return false;
+}
+
 void upstream_table::expire_replaced_by(const upstream_row& it)
 {
     if (!is_named_role(it.role))
@@ -83,11 +100,7 @@
     {
         row.state = expired_state;
     }
-    if (row.state == leaving_state)
-    {
-        (void)departed_.add({row.id, row.incarnation}, departure_time(now));
-    }
-    else if (departed_.contains(row.id, row.incarnation))
+    if (departed_.contains(row.id, row.incarnation))
     {
         row.state = std::max(row.state, leaving_state);
     }
@@ -100,12 +113,20 @@
         {
             return change::none;
         }
+        if (!may_replace(old, row))
+        {
+            return change::none;
+        }
         // Within an incarnation, the state only advances.
         if (row.incarnation == old.incarnation)
         {
             row.state = std::max(row.state, old.state);
         }
     }
+    if (row.state == leaving_state)
+    {
+        (void)departed_.add({row.id, row.incarnation}, departure_time(now));
+    }
     auto& stored = entries_[it.id];
     const auto cold_until = now + std::chrono::milliseconds(row.cold_ms);
     const bool cold_changed =
@@ -191,7 +212,8 @@
         // A leave does not increase the sequence, so states are compared first.
         auto& stored = found->second;
         const bool advances_state = stored.row.incarnation == it.incarnation &&
-                                    it.state > stored.row.state;
+                                    it.state > stored.row.state &&
+                                    may_replace(stored.row, it);
         if (advances_state)
         {
             stored.row.state = it.state;
--- a/Libraries/LibFleet/upstream_table.hpp
+++ b/Libraries/LibFleet/upstream_table.hpp
@@ -27,7 +27,8 @@
     {}
 
     /// Roles that the manifest names. Upstreams of other roles expire no one
-    /// at their address. Before the first call, all roles count as named.
+    /// at their address and replace no row of a named role. Before the first
+    /// call, all roles count as named.
     void set_roles(std::set<std::string> roles)
     {
         roles_ = std::move(roles);
@@ -110,6 +111,8 @@
         return !roles_ || roles_->contains(role);
     }
 
+    /// False for an entry of an unknown role in place of one of a named role.
+    bool may_replace(const upstream_row& old, const upstream_row& it) const;
     bool is_superseded(const upstream_row& it) const;
     void expire_replaced_by(const upstream_row& it);
 
--- a/Tests/LibFleet/upstream_table.cpp
+++ b/Tests/LibFleet/upstream_table.cpp
@@ -160,6 +160,40 @@
     CHECK(state_of(table, "u") == upstream_state::expired);
 }
 
+// Guards against an entry of another writer that hides a sound upstream.
+TEST_CASE("an entry of an unknown role replaces none of a known role")
+{
+    std::uint64_t change_counter = 0;
+    upstream_table table(change_counter);
+    table.set_roles({"engine"});
+    table.announce(row("u", 5, 9), start);
+    auto odd = row("u", 5, 10);
+    odd.role = "unknown";
+    SUBCASE("of the same start") {}
+    SUBCASE("of a later start")
+    {
+        odd.incarnation = 6;
+    }
+    for (const auto state : {upstream_state::serving, upstream_state::leaving})
+    {
+        odd.state = static_cast<std::uint8_t>(state);
+        CHECK(table.announce(odd, start) == upstream_table::change::none);
+        CHECK(table.merge(odd, start) == upstream_table::change::none);
+    }
+    CHECK(table.entries().at("u").row.role == "engine");
+    table.announce(row("u", 5, 10), start);
+    CHECK(state_of(table, "u") == upstream_state::serving);
+    // Its own announcements count as before.
+    table.announce(row("u", 5, 11, upstream_state::leaving), start);
+    CHECK(state_of(table, "u") == upstream_state::leaving);
+    // A manifest that names the role makes it one of an upstream.
+    table.set_roles({"engine", "unknown"});
+    odd.incarnation = 7;
+    odd.state = static_cast<std::uint8_t>(upstream_state::serving);
+    table.announce(odd, start);
+    CHECK(table.entries().at("u").row.role == "unknown");
+}
+
 TEST_CASE("an entry with a state out of range is not taken over")
 {
     std::uint64_t change_counter = 0;
