Tests: Let upstreams of the soak leave and start again

After its planned stops the soak lets half of the upstreams of each role and data centre deregister, without a body as on the platform. The control VM that acknowledges a departure is killed at once, and a late copy of the last announcement arrives at some control VM. Once all VMs are in touch again and the time of a departure is over, no request may reach one of them; then they start again under their identifiers and have to be used. Their "born" is the time of the start now, where it was 1.

--- a/Tests/Soak/promise_checker.cpp
+++ b/Tests/Soak/promise_checker.cpp
@@ -77,6 +77,17 @@
     }
 }
 
+void promise_checker::ran_after_departure(
+    const std::string& id, const std::string& upstream)
+{
+    const auto found = requests_.find(id);
+    if (found != requests_.end() && is_calm(found->second))
+    {
+        broken(core::concat(
+            "request ", id, " reached ", upstream, ", which had left"));
+    }
+}
+
 void promise_checker::answered(const std::string& id, const caller_answer& it)
 {
     const auto found = requests_.find(id);
--- a/Tests/Soak/promise_checker.hpp
+++ b/Tests/Soak/promise_checker.hpp
@@ -39,14 +39,16 @@
     random_faults,
     planned_stops,    ///< One VM at a time gets SIGTERM.
     silent_upstreams, ///< Upstreams stop to announce themselves, and serve.
-    faulty_answers    ///< Upstreams repeat their answers, or trickle.
+    faulty_answers,   ///< Upstreams repeat their answers, or trickle.
+    departures        ///< Upstreams deregister, and serve.
 };
 
-inline constexpr core::enum_table<disturbance, 4> disturbance_names{
+inline constexpr core::enum_table<disturbance, 5> disturbance_names{
     {{disturbance::random_faults, "random_faults"},
      {disturbance::planned_stops, "planned_stops"},
      {disturbance::silent_upstreams, "silent_upstreams"},
-     {disturbance::faulty_answers, "faulty_answers"}}};
+     {disturbance::faulty_answers, "faulty_answers"},
+     {disturbance::departures, "departures"}}};
 
 /// The longest timeout of a route in the soak's documents.
 inline constexpr std::chrono::milliseconds longest_timeout{3490};
@@ -67,6 +69,10 @@
     void
     ran(const std::string& id, const std::string& account, bool key_passed_on);
 
+    /// A request reached an upstream that had left before this disturbance.
+    void
+    ran_after_departure(const std::string& id, const std::string& upstream);
+
     void answered(const std::string& id, const caller_answer& it);
 
     /// An operator's document was acknowledged.
--- a/Tests/Soak/promise_checker_tests.cpp
+++ b/Tests/Soak/promise_checker_tests.cpp
@@ -163,3 +163,16 @@
         CHECK(it.violations().size() == (held > 7 ? 1 : 0));
     }
 }
+
+TEST_CASE("a request that reaches an upstream after its departure is reported")
+{
+    promise_checker it;
+    it.set_disturbance(soak::disturbance::departures);
+    it.sent("early", request_kind::idempotent, "shop");
+    it.set_disturbance(soak::disturbance::departures);
+    it.sent("late", request_kind::idempotent, "shop");
+    it.ran_after_departure("early", "u1");
+    CHECK(it.violations().empty());
+    it.ran_after_departure("late", "u1");
+    CHECK(it.violations().size() == 1);
+}
--- a/Tests/Soak/soak.cpp
+++ b/Tests/Soak/soak.cpp
@@ -55,6 +55,14 @@
 /// Longer than an upstream may be silent before it is given no more calls.
 constexpr milliseconds silence_time{4000};
 constexpr milliseconds spoiling_time{4000};
+/// The users' bounds: control VMs are in touch again some time after the last
+/// disturbance, and departures then hold.
+constexpr milliseconds contact_time{5000};
+constexpr milliseconds drain_time{3000};
+constexpr milliseconds observed_time{2000};
+/// In which an upstream that starts again has to be given requests.
+constexpr milliseconds comeback_time{3000};
+constexpr int departure_tries = 12;
 
 class soak_run
 {
@@ -358,6 +366,7 @@
         }
         co_await stop_entry_vms();
         co_await silence_upstreams();
+        co_await let_upstreams_leave();
         co_await spoil_answers();
         co_await load_->read_at_the_end();
         load_->stop();
@@ -399,6 +408,66 @@
         co_await wait(milliseconds(1000)); // All are announced again.
     }
 
+    // Half of each role and data centre; the control VM that acknowledges a
+    // departure is killed at once, and a late announcement follows.
+    asio::awaitable<void> let_upstreams_leave()
+    {
+        checker_.set_disturbance(disturbance::departures);
+        const std::size_t leaving = upstreams_.size() / 2;
+        for (std::size_t n = 0; n < leaving; ++n)
+        {
+            co_await leave(n);
+        }
+        co_await wait(contact_time);
+        for (std::size_t n = 0; n < leaving; ++n)
+        {
+            co_await upstreams_[n]->repeat_announcement();
+        }
+        co_await wait(drain_time);
+        // What is sent from here on reaches none of them.
+        checker_.set_disturbance(disturbance::departures);
+        for (std::size_t n = 0; n < leaving; ++n)
+        {
+            upstreams_[n]->set_departed();
+        }
+        co_await wait(observed_time);
+        std::uint64_t runs = 0;
+        for (std::size_t n = 0; n < leaving; ++n)
+        {
+            upstreams_[n]->start_again();
+        }
+        co_await wait(comeback_time);
+        for (std::size_t n = 0; n < leaving; ++n)
+        {
+            runs += upstreams_[n]->runs();
+        }
+        if (runs == 0)
+        {
+            checker_.broken("no upstream that started again was used");
+        }
+    }
+
+    asio::awaitable<void> leave(std::size_t n)
+    {
+        auto vm = any_control();
+        bool acknowledged = false;
+        for (int tries = 0; tries < departure_tries && !acknowledged; ++tries)
+        {
+            vm = (vm + 1) % absl::GetFlag(FLAGS_control_vms);
+            acknowledged = co_await upstreams_[n]->leave(vm);
+            if (!acknowledged)
+            {
+                co_await wait(milliseconds(100));
+            }
+        }
+        if (!acknowledged)
+        {
+            checker_.broken(core::concat("departure ", n, " was refused"));
+        }
+        report("departure", n);
+        fleet_->signal(vm, SIGKILL);
+    }
+
     asio::awaitable<void> spoil_answers()
     {
         checker_.set_disturbance(disturbance::faulty_answers);
--- a/Tests/Soak/upstream_stand_in.cpp
+++ b/Tests/Soak/upstream_stand_in.cpp
@@ -4,6 +4,7 @@
 
 #include <platform/names.hpp>
 
+#include <LibCore/clock.hpp>
 #include <LibCore/text.hpp>
 #include <Soak/http_call.hpp>
 
@@ -77,7 +78,9 @@
     core::random_source& random)
     : thread_(std::move(thread)), options_(options), checker_(checker),
       random_(random)
-{}
+{
+    start_again();
+}
 
 void upstream_stand_in::start()
 {
@@ -101,19 +104,53 @@
 
 asio::awaitable<void> upstream_stand_in::announce_once()
 {
-    const auto& to = options_.control[random_.below(
-        static_cast<std::uint64_t>(options_.control.size()))];
-    http::request message(
-        http::bhttp::verb::post,
-        core::concat(names::heartbeat_path, options_.id), 11);
-    message.set(http::bhttp::field::host, "control");
-    message.body() = core::concat(
+    last_announcement_ = core::concat(
         R"({"service":")", options_.role, R"(","address":")", proxy_->address(),
         R"(","zone":")", options_.data_center,
         R"(","version":"v1","slots":16,"state":"ready","cold-left-ms":0,)",
-        R"("born":1,"seq":)", ++sequence_, "}");
+        R"("born":)", born_, R"(,"seq":)", ++sequence_, "}");
+    co_await repeat_announcement();
+}
+
+asio::awaitable<void> upstream_stand_in::repeat_announcement()
+{
+    const auto to =
+        random_.below(static_cast<std::uint64_t>(options_.control.size()));
+    (void)co_await tell(
+        to, core::concat(names::heartbeat_path, options_.id),
+        last_announcement_);
+}
+
+asio::awaitable<bool> upstream_stand_in::leave(std::size_t control_vm)
+{
+    silent_ = true;
+    const auto status = co_await tell(
+        control_vm, core::concat(names::deregister_path, options_.id), "");
+    co_return status == 200;
+}
+
+asio::awaitable<unsigned> upstream_stand_in::tell(
+    std::size_t control_vm, std::string target, std::string body)
+{
+    http::request message(http::bhttp::verb::post, target, 11);
+    message.set(http::bhttp::field::host, "control");
+    message.body() = std::move(body);
     kept_connection connection(thread_->context());
-    (void)co_await call(connection, to, std::move(message), announce_limit);
+    const auto answer = co_await call(
+        connection, options_.control[control_vm], std::move(message),
+        announce_limit);
+    co_return answer.status;
+}
+
+void upstream_stand_in::start_again()
+{
+    constexpr std::uint64_t nanoseconds_per_millisecond = 1'000'000;
+    born_ = core::suspend_aware_clock().unix_nanoseconds() /
+            nanoseconds_per_millisecond;
+    sequence_ = 0;
+    runs_ = 0;
+    silent_ = false;
+    departed_ = false;
 }
 
 asio::awaitable<void> upstream_stand_in::handle(http::exchange& it)
@@ -129,6 +166,11 @@
         (void)co_await it.respond(std::move(refusal));
         co_return;
     }
+    ++runs_;
+    if (departed_)
+    {
+        checker_.ran_after_departure(request_id, options_.id);
+    }
     checker_.ran(
         request_id, std::string(http::header_value(message, names::account)),
         !http::header_value(message, names::key).empty());
--- a/Tests/Soak/upstream_stand_in.hpp
+++ b/Tests/Soak/upstream_stand_in.hpp
@@ -43,6 +43,28 @@
         silent_ = silent;
     }
 
+    /// Deregisters at a control VM, without a body, and announces itself no
+    /// more. True if that was acknowledged.
+    http::asio::awaitable<bool> leave(std::size_t control_vm);
+
+    /// A late copy of the last announcement arrives at some control VM.
+    http::asio::awaitable<void> repeat_announcement();
+
+    /// From now on it counts as gone.
+    void set_departed()
+    {
+        departed_ = true;
+    }
+
+    /// Another incarnation under the same identifier.
+    void start_again();
+
+    /// Requests since the last start.
+    std::uint64_t runs() const
+    {
+        return runs_;
+    }
+
     fault_proxy& proxy()
     {
         return *proxy_;
@@ -58,6 +80,8 @@
 
     http::asio::awaitable<void> announce();
     http::asio::awaitable<void> announce_once();
+    http::asio::awaitable<unsigned>
+    tell(std::size_t control_vm, std::string target, std::string body);
     http::asio::awaitable<void>
     answer_stream(http::exchange& it, const std::string& request_id);
 
@@ -67,8 +91,12 @@
     core::random_source& random_;
     std::shared_ptr<http::http_server> server_;
     std::shared_ptr<fault_proxy> proxy_;
+    std::uint64_t born_ = 0;     // Start, Unix milliseconds.
     std::uint64_t sequence_ = 0; // Of the announcements.
+    std::uint64_t runs_ = 0;
+    std::string last_announcement_;
     bool silent_ = false;
+    bool departed_ = false;
 };
 
 } // namespace hyssoploft::soak
