LibRetry: Count extra attempts over at least a whole window

Cause, one of two: attempt_budget counted the current tenth of a window and nine before it, so that what was spent in the oldest tenth was granted again before the window had passed. The property test allowed for that.

Change: extra attempts are counted over eleven slices, at least a window, and requests over ten, at most one.

Measured, x86-64: "a window never holds more retries than the budget", now for whole windows, and "a budget that is used up at once returns after a whole window" failed before and pass.

--- a/Libraries/LibRetry/attempt_budget.hpp
+++ b/Libraries/LibRetry/attempt_budget.hpp
@@ -1,8 +1,8 @@
 #ifndef HYSSOPLOFT_LIBRETRY_ATTEMPT_BUDGET_HPP
 #define HYSSOPLOFT_LIBRETRY_ATTEMPT_BUDGET_HPP
 
-// Limits extra attempts (retries or hedges) within a sliding window to a share
-// of the requests plus a constant.
+// Limits extra attempts (retries or hedges) within any window of a length to a
+// share of the requests in it plus a constant.
 
 #include <LibCore/time.hpp>
 
@@ -51,7 +51,10 @@
         std::uint64_t extra_attempts = 0;
     };
 
-    static constexpr std::size_t bucket_count = 10;
+    /// Slices of a window.
+    static constexpr std::size_t slice_count = 10;
+    /// A window begins inside a slice: one slice more covers it whole.
+    static constexpr std::size_t bucket_count = slice_count + 1;
 
     bucket& current_bucket(core::time_point now);
     std::int64_t slice_index(core::time_point now) const;
--- a/Tests/LibRetry/budgeted_retry_policy.cpp
+++ b/Tests/LibRetry/budgeted_retry_policy.cpp
@@ -150,17 +150,11 @@
             RC_ASSERT(idempotent || !may_have_run);
             RC_ASSERT(now + decision.backoff < it.deadline);
             retries.push_back(now);
-            // All that the policy may still count lies in the window; it may no
-            // longer count the oldest tenth.
             const auto is_outside_window = [&](core::time_point t) {
                 return t <= now - settings.budget_window;
             };
             std::erase_if(requests, is_outside_window);
-            const core::duration counted_window =
-                settings.budget_window - settings.budget_window / 10;
-            std::erase_if(retries, [&](core::time_point t) {
-                return t <= now - counted_window;
-            });
+            std::erase_if(retries, is_outside_window);
             RC_ASSERT(
                 static_cast<double>(retries.size()) <=
                 settings.budget_share * static_cast<double>(requests.size()) +
@@ -168,3 +162,26 @@
         }
     }));
 }
+
+// Guards against retries of nearly two budgets inside one window: the oldest
+// part of it was forgotten before the window had passed.
+TEST_CASE("a budget that is used up at once returns after a whole window")
+{
+    for (const auto offset : {0ms, 1ms, 500ms, 950ms, 999ms})
+    {
+        CAPTURE(offset.count());
+        const auto window = 10s;
+        const auto used = start + offset;
+        attempt_budget budget(0.0, 3, window);
+        for (int n = 0; n < 3; ++n)
+        {
+            CHECK(budget.take(used));
+        }
+        for (auto now = used; now < used + window; now += 10ms)
+        {
+            CHECK_FALSE(budget.take(now));
+        }
+        // At most a tenth of the window later.
+        CHECK(budget.take(used + window + 1s));
+    }
+}
