Tests: Share the orders and announcements of the departure tests

Both tests had the same functions. Sequences of announcements rise now as an upstream's do: they were counted in a subshell and stayed at 1, so that "draining" and late announcements came with the sequence of the first one. Two comments in the usual terms.

--- a/Libraries/LibControl/fleet_control.hpp
+++ b/Libraries/LibControl/fleet_control.hpp
@@ -331,7 +331,7 @@
     std::shared_ptr<const fleet::suspect_parts> suspect_states_ =
         std::make_shared<fleet::suspect_parts>();
 
-    /// Last departure of the log that upstreams_ was told of.
+    /// Number of the last departure of the log that upstreams_ has.
     std::uint64_t applied_departure_ = 0;
     fleet::leaving_upstreams own_leaving_; // Seen by this VM itself.
     core::time_point next_leave_notice_{};
--- a/Tests/LibMembership/upstream_registry.cpp
+++ b/Tests/LibMembership/upstream_registry.cpp
@@ -146,7 +146,7 @@
     REQUIRE(registry.leave("upstream1", 2, start).ok());
     CHECK(state_of(registry) != upstream_state::serving);
     CHECK(registry.find("upstream1")->record.incarnation == 2);
-    // Late news of either start, from the upstream or from a peer.
+    // Late announcements of either start, and a peer's late update.
     CHECK_FALSE(registry.announce(record(1, 6), start + 1s).ok());
     CHECK_FALSE(registry.announce(record(2, 1), start + 1s).ok());
     upstream_registry peer("region0");
--- a/Tests/Processes/departure_before_announcement.sh
+++ b/Tests/Processes/departure_before_announcement.sh
@@ -14,64 +14,43 @@
 platform_desk_manifest 1 >"$fleet_dir/manifest.json"
 check_soon 30 "the configuration is acknowledged" \
     platform_put "$fleet_dir/manifest.json"
-served() { [ "$(platform_order "$1" "warm-$RANDOM")" = 200 ]; }
 for entry in "${platform_entry[@]}"; do
-    check_soon 30 "$entry serves" served "$entry"
+    check_soon 30 "$entry serves" platform_is_served "$entry"
 done
 
-# orders NAME COUNT: at both entry VMs; counts those that got no answer.
-orders() {
-    local entry n
-    lost=0
-    for entry in "${platform_entry[@]}"; do
-        for ((n = 1; n <= $2; n++)); do
-            [ "$(platform_order "$entry" "$1-$entry-$n")" = 200 ] ||
-                lost=$((lost + 1))
-        done
-    done
-}
-# is_used ID: orders reach the upstream.
-is_used() {
-    local before
-    before=$(platform_calls "$1")
-    orders "used-$1-$RANDOM" 4
-    [ "$(platform_calls "$1")" -gt "$before" ]
-}
-accepted() { [ "$("$@")" = 200 ]; }
-
 born=$(unix_ms)
 check "an earlier start is announced" \
-    accepted platform_heartbeat control-r1-1 older ready 1 $((born - 60000))
-check_soon 10 "the earlier start is used" is_used older
+    platform_acknowledges platform_heartbeat control-r1-1 older ready 1 $((born - 60000))
+check_soon 10 "the earlier start is used" platform_is_used older
 
 # The announcements of these starts are still on their way.
 departed=$(unix_ms)
 for id in unheard older; do
     check "the departure of $id is acknowledged" \
-        accepted platform_deregister control-r1-1 "$id"
+        platform_acknowledges platform_deregister control-r1-1 "$id"
 done
 sleep 0.5
 for id in unheard older; do
     check "the late announcement of $id is answered" \
-        accepted platform_heartbeat control-r1-2 "$id" ready 2 "$born"
+        platform_acknowledges platform_heartbeat control-r1-2 "$id" ready 2 "$born"
 done
 sleep 3
 declare -A calls=()
 for id in unheard older; do
     calls[$id]=$(platform_calls "$id")
 done
-orders after 15
+platform_orders after 15
 for id in unheard older; do
     check "no order reaches $id" \
         [ "$(platform_calls "$id")" -eq "${calls[$id]}" ]
 done
-check "no order is lost" [ "$lost" -eq 0 ]
+check "every order was answered" platform_all_answered
 
 # A start that begins after the departure.
 again=$(unix_ms)
 check "the next start is later" [ "$again" -gt "$departed" ]
 for id in unheard older; do
     check "the next start of $id is announced" \
-        accepted platform_heartbeat control-r2-1 "$id" ready 1 "$again"
-    check_soon 3 "the next start of $id is used" is_used "$id"
+        platform_acknowledges platform_heartbeat control-r2-1 "$id" ready 1 "$again"
+    check_soon 3 "the next start of $id is used" platform_is_used "$id"
 done
--- a/Tests/Processes/departure_survives_its_vm.sh
+++ b/Tests/Processes/departure_survives_its_vm.sh
@@ -15,37 +15,16 @@
 platform_desk_manifest 1 >"$fleet_dir/manifest.json"
 check_soon 30 "the configuration is acknowledged" \
     platform_put "$fleet_dir/manifest.json"
-served() { [ "$(platform_order "$1" "warm-$RANDOM")" = 200 ]; }
 for entry in "${platform_entry[@]}"; do
-    check_soon 30 "$entry serves" served "$entry"
+    check_soon 30 "$entry serves" platform_is_served "$entry"
 done
 
-orders() { # NAME COUNT: at both entry VMs.
-    local entry n
-    for entry in "${platform_entry[@]}"; do
-        for ((n = 1; n <= $2; n++)); do
-            platform_order "$entry" "$1-$entry-$n" >>"$fleet_dir/statuses"
-            echo >>"$fleet_dir/statuses"
-        done
-    done
-}
-is_used() {
-    local before
-    before=$(platform_calls "$1")
-    orders "used-$1-$RANDOM" 4
-    [ "$(platform_calls "$1")" -gt "$before" ]
-}
-accepted() { [ "$("$@")" = 200 ]; }
 born=$(unix_ms)
-sequence=0
 # announce VM ID STATE
-announce() {
-    sequence=$((sequence + 1))
-    platform_heartbeat "$1" "$2" "$3" "$sequence" "$born"
-}
+announce() { platform_heartbeat "$1" "$2" "$3" "$(unix_ms)" "$born"; }
 listed() { # VM ID: announced to one control VM, and used.
-    check "$2 is announced" accepted announce "$1" "$2" ready
-    check_soon 10 "$2 is used" is_used "$2"
+    check "$2 is announced" platform_acknowledges announce "$1" "$2" ready
+    check_soon 10 "$2 is used" platform_is_used "$2"
 }
 # gets_none ID...: after the time in which a departure takes effect.
 gets_none() {
@@ -55,7 +34,7 @@
     for id in "$@"; do
         before[$id]=$(platform_calls "$id")
     done
-    orders "after-$1-$RANDOM" 15
+    platform_orders "after-$1-$RANDOM" 15
     for id in "$@"; do
         check "no order reaches $id" \
             [ "$(platform_calls "$id")" -eq "${before[$id]}" ]
@@ -77,18 +56,18 @@
 [ "$status" != 200 ] || loses control-r1-2
 for name in control-r1-1 control-r2-1; do fleet_kill CONT "$name"; done
 check_soon 6 "it is acknowledged once they go on" \
-    accepted platform_deregister control-r1-2 alone
+    platform_acknowledges platform_deregister control-r1-2 alone
 gets_none alone
 
 listed control-r1-1 deregisters
 check_soon 6 "the departure is acknowledged" \
-    accepted platform_deregister control-r1-1 deregisters
+    platform_acknowledges platform_deregister control-r1-1 deregisters
 loses control-r1-1
 gets_none deregisters
 
 listed control-r2-1 drains
 check_soon 6 "\"draining\" is acknowledged" \
-    accepted announce control-r2-1 drains draining
+    platform_acknowledges announce control-r2-1 drains draining
 loses control-r2-1
 gets_none drains
 
@@ -100,7 +79,7 @@
 for id in "${upstreams[@]}"; do
     for name in "${platform_control[@]}"; do
         check_soon 10 "a late announcement of $id is answered by $name" \
-            accepted announce "$name" "$id" ready
+            platform_acknowledges announce "$name" "$id" ready
     done
 done
 gets_none "${upstreams[@]}"
@@ -110,16 +89,15 @@
 fleet_kill KILL control-r2-1
 for id in "${upstreams[@]}"; do
     check_soon 6 "a repeat of the departure of $id is acknowledged" \
-        accepted platform_deregister control-r1-2 "$id"
+        platform_acknowledges platform_deregister control-r1-2 "$id"
 done
 born=$(unix_ms)
 for id in "${upstreams[@]}"; do
     check "the next start of $id is announced" \
-        accepted announce control-r1-2 "$id" ready
-    check_soon 3 "the next start of $id is used" is_used "$id"
+        platform_acknowledges announce control-r1-2 "$id" ready
+    check_soon 3 "the next start of $id is used" platform_is_used "$id"
 done
 check_soon 6 "a departure is acknowledged with a control VM gone" \
-    accepted platform_deregister control-r1-2 alone
+    platform_acknowledges platform_deregister control-r1-2 alone
 gets_none alone
-check "every order was answered" \
-    [ -z "$(grep -v '^200$' "$fleet_dir/statuses")" ]
+check "every order was answered" platform_all_answered
--- a/Tests/Processes/platform_fleet.sh
+++ b/Tests/Processes/platform_fleet.sh
@@ -175,6 +175,32 @@
         "http://$(platform_entry_address "$1")/orders/1"
 }
 
+platform_is_served() { [ "$(platform_order "$1" "warm-$RANDOM")" = 200 ]; }
+
+# platform_orders NAME COUNT: as many at each entry VM; adds their statuses to
+# the file "statuses".
+platform_orders() {
+    local entry n
+    for entry in "${platform_entry[@]}"; do
+        for ((n = 1; n <= $2; n++)); do
+            platform_order "$entry" "$1-$entry-$n" >>"$fleet_dir/statuses"
+            echo >>"$fleet_dir/statuses"
+        done
+    done
+}
+platform_all_answered() { ! grep -qv '^200$' "$fleet_dir/statuses"; }
+
+# platform_is_used ID: orders reach the upstream.
+platform_is_used() {
+    local before
+    before=$(platform_calls "$1")
+    platform_orders "used-$1-$RANDOM" 4
+    [ "$(platform_calls "$1")" -gt "$before" ]
+}
+
+# platform_acknowledges COMMAND...: whether the status that it prints is 200.
+platform_acknowledges() { [ "$("$@")" = 200 ]; }
+
 # platform_heartbeat VM ID STATE SEQUENCE BORN: what the upstream ID says of
 # itself to a control VM; the status.
 platform_heartbeat() {
